--- /dev/null
+++ b/daemons/Ctl.cpp
@@ -0,0 +1,313 @@
+// kumquatctl: the operator's tool; talks JSON-RPC to the control group.
+#include "common/JsonReader.h"
+#include "common/Random.h"
+#include "kumquat/Configuration.h"
+#include "kumquat/Settings.h"
+#include "protocol/Wire.h"
+#include "transport/BlockingHttp.h"
+#include "transport/JsonRpcCall.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <thread>
+
+DEFINE_string(control, "127.0.0.1:7101", "addresses of the control members, with commas between");
+DEFINE_string(key, "", "the cluster key file");
+DEFINE_string(id, "", "apply: the change's ID; give the same again to resend a change");
+DEFINE_int64(base, -1, "apply: the version the change builds on; -1: the one in force");
+DEFINE_bool(wait, false, "apply: wait until every entry has the version in force");
+DEFINE_int32(wait_entries, 0, "apply --wait: the number of entries to wait for; 0: those seen");
+DEFINE_string(address, "", "dump: the internal address of the process");
+
+namespace {
+
+using namespace kumquat;
+
+constexpr Milliseconds callTime { 10'000 };
+constexpr Milliseconds retryTime { 10'000 };
+constexpr Milliseconds inForceTime { 15'000 };
+constexpr Milliseconds poll { 50 };
+
+constexpr char usage[] = "operates kumquatdeal; usage: kumquatctl COMMAND [flags]\n"
+                         "  form             make the named control member the first of a group\n"
+                         "  status           show the control group and where the version is\n"
+                         "  check FOLDER     check a configuration folder, change nothing\n"
+                         "  apply FOLDER     put the folder's configuration in force\n"
+                         "  watch            print each new version in force\n"
+                         "  dump             print the state of the process at --address\n"
+                         "  drain NAME       drain a target, through the entry at --address\n"
+                         "  once show SERVICE KEY   show the record of a once-request";
+
+int fail(const std::string &message)
+{
+    std::cerr << message << "\n";
+    return 1;
+}
+
+std::vector<std::string> controlMembers()
+{
+    return absl::StrSplit(FLAGS_control, ',');
+}
+
+class ControlTool
+{
+public:
+    explicit ControlTool(std::string key) : key_(std::move(key)) { }
+
+    // Goes round the members until the leader answers.
+    JsonRpcOutcome call(const std::string &method, const Json::Value &parameters)
+    {
+        const TimePoint end = Clock::now() + retryTime;
+        JsonRpcOutcome outcome;
+        while (true) {
+            for (const std::string &member : controlMembers()) {
+                outcome = callMember(member, method, parameters);
+                const bool elsewhere = !outcome.ok
+                    && (outcome.error.rfind("not-leader", 0) == 0 || outcome.error.empty()
+                        || unreachable_);
+                if (!elsewhere) {
+                    return outcome;
+                }
+            }
+            if (Clock::now() > end) {
+                outcome.error = "no control member leads (" + outcome.error
+                    + "); remedy: see status of each member";
+                return outcome;
+            }
+            std::this_thread::sleep_for(poll);
+        }
+    }
+
+    JsonRpcOutcome callMember(const std::string &member, const std::string &method,
+                              const Json::Value &parameters)
+    {
+        const JsonRpcCarrier carrier = [this, &member](const std::string &message) {
+            return carry(member, message);
+        };
+        JsonRpcOutcome outcome = callJsonRpc(carrier, method, writeJson(parameters));
+        if (unreachable_) {
+            outcome.error = member + " cannot be reached";
+        }
+        return outcome;
+    }
+
+private:
+    std::string carry(const std::string &member, const std::string &message)
+    {
+        const auto address = parseAddress(member);
+        if (!address.ok()) {
+            unreachable_ = true;
+            return "";
+        }
+        HttpRequest request(http::verb::post, wire::rpcPath, 11);
+        request.body() = message;
+        const auto answer = blockingCall(*address, std::move(request),
+                                         std::make_shared<Authenticator>(key_), callTime);
+        unreachable_ = !answer.ok() || answer->result() != http::status::ok;
+        return unreachable_ ? "" : answer->body();
+    }
+
+    std::string key_;
+    bool unreachable_ = false;
+};
+
+int print(const JsonRpcOutcome &outcome)
+{
+    if (!outcome.ok) {
+        return fail(outcome.error);
+    }
+    std::cout << writeJson(*parseJson("answer", outcome.result, ErrorKind::badMessage), true)
+              << "\n";
+    return 0;
+}
+
+Json::Value changeOf(const std::vector<ConfigurationFile> &files, const Json::Value &current)
+{
+    Json::Value change;
+    change["writes"] = Json::Value(Json::arrayValue);
+    change["removals"] = Json::Value(Json::arrayValue);
+    for (const ConfigurationFile &file : files) {
+        Json::Value write;
+        write["name"] = file.name;
+        write["content"] = file.content;
+        change["writes"].append(write);
+    }
+    for (const Json::Value &present : current["files"]) {
+        bool kept = false;
+        for (const ConfigurationFile &file : files) {
+            kept = kept || file.name == present["name"].asString();
+        }
+        if (!kept) {
+            change["removals"].append(present["name"]);
+        }
+    }
+    return change;
+}
+
+int waitInForce(ControlTool &tool, std::uint64_t number)
+{
+    const TimePoint start = Clock::now();
+    while (Clock::now() - start < inForceTime) {
+        const JsonRpcOutcome current = tool.call("current", Json::objectValue);
+        int behind = 0;
+        int seen = 0;
+        for (const std::string &member : controlMembers()) {
+            const JsonRpcOutcome status = tool.callMember(member, "status", Json::objectValue);
+            if (!status.ok) {
+                continue;
+            }
+            const auto value = parseJson("status", status.result, ErrorKind::badMessage);
+            for (const Json::Value &entry : (*value)["entries"]) {
+                ++seen;
+                behind += entry["number"].asUInt64() < number ? 1 : 0;
+            }
+        }
+        if (current.ok && seen > 0 && behind == 0 && seen >= FLAGS_wait_entries) {
+            std::cout << "in force on " << seen << " entries after "
+                      << static_cast<int>(toMilliseconds(Clock::now() - start)) << " ms\n";
+            return 0;
+        }
+        std::this_thread::sleep_for(poll);
+    }
+    return fail("not in force everywhere yet; remedy: see status for the entries that lag");
+}
+
+int apply(ControlTool &tool, const std::string &folder)
+{
+    const auto files = readConfigurationFolder(folder);
+    if (!files.ok()) {
+        return fail(std::string(files.status().message()));
+    }
+    const JsonRpcOutcome current = tool.call("current", Json::objectValue);
+    if (!current.ok) {
+        return fail(current.error);
+    }
+    const auto present = parseJson("current", current.result, ErrorKind::badMessage);
+    Random random(randomSeed());
+    Json::Value change = changeOf(*files, *present);
+    change["id"] = FLAGS_id.empty() ? absl::StrCat(absl::Hex(random())) : FLAGS_id;
+    change["base"]
+        = FLAGS_base >= 0 ? Json::Value(Json::Int64(FLAGS_base)) : (*present)["number"];
+    const JsonRpcOutcome outcome = tool.call("apply", change);
+    if (print(outcome) != 0) {
+        return 1;
+    }
+    const auto result = parseJson("apply", outcome.result, ErrorKind::badMessage);
+    if ((*result)["verdict"] != "accepted") {
+        return 2;
+    }
+    return FLAGS_wait ? waitInForce(tool, (*result)["number"].asUInt64()) : 0;
+}
+
+int check(ControlTool &tool, const std::string &folder)
+{
+    const auto files = readConfigurationFolder(folder);
+    const auto parsed = files.ok() ? parseConfiguration(*files)
+                                   : absl::StatusOr<Configuration>(files.status());
+    if (!parsed.ok()) {
+        return fail(std::string(parsed.status().message()));
+    }
+    std::cout << "well-formed: " << parsed->services.size() << " services\n";
+    const JsonRpcOutcome current = tool.call("current", Json::objectValue);
+    if (!current.ok) {
+        std::cout << "not compared with the version in force: " << current.error << "\n";
+        return 0;
+    }
+    const auto present = parseJson("current", current.result, ErrorKind::badMessage);
+    return print(tool.call("check", changeOf(*files, *present)));
+}
+
+int watch(ControlTool &tool)
+{
+    std::uint64_t last = 0;
+    while (true) {
+        const JsonRpcOutcome current = tool.call("current", Json::objectValue);
+        const auto value = parseJson("current", current.result, ErrorKind::badMessage);
+        if (current.ok && value.ok() && (*value)["number"].asUInt64() != last) {
+            last = (*value)["number"].asUInt64();
+            std::cout << "version " << last << ", " << (*value)["files"].size() << " files"
+                      << std::endl;
+        }
+        std::this_thread::sleep_for(poll);
+    }
+}
+
+int callProcess(http::verb verb, const std::string &path, const std::string &body)
+{
+    const auto address = parseAddress(FLAGS_address);
+    if (!address.ok()) {
+        return fail(std::string(address.status().message()));
+    }
+    HttpRequest request(verb, path, 11);
+    request.body() = body;
+    const auto answer = blockingCall(*address, std::move(request), nullptr, callTime);
+    if (!answer.ok()) {
+        return fail(std::string(answer.status().message()));
+    }
+    std::cout << answer->body();
+    return answer->result() == http::status::ok ? 0 : 1;
+}
+
+int run(const std::vector<std::string> &words, ControlTool &tool)
+{
+    const std::string &command = words[0];
+    const std::string first = words.size() > 1 ? words[1] : "";
+    if (command == "form") {
+        return print(tool.callMember(FLAGS_control, "form", Json::objectValue));
+    }
+    if (command == "status") {
+        int result = 0;
+        for (const std::string &member : controlMembers()) {
+            result |= print(tool.callMember(member, "status", Json::objectValue));
+        }
+        return result;
+    }
+    if (command == "check" && !first.empty()) {
+        return check(tool, first);
+    }
+    if (command == "apply" && !first.empty()) {
+        return apply(tool, first);
+    }
+    if (command == "watch") {
+        return watch(tool);
+    }
+    if (command == "dump") {
+        return callProcess(http::verb::get, wire::dumpPath, "");
+    }
+    if (command == "drain" && !first.empty()) {
+        return callProcess(http::verb::post, std::string(wire::targetsPath) + first + "/drain",
+                           "");
+    }
+    if (command == "once" && first == "show" && words.size() == 4) {
+        Json::Value parameters;
+        parameters["service"] = words[2];
+        parameters["key"] = words[3];
+        return print(tool.call("onceShow", parameters));
+    }
+    return fail(usage);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage(usage);
+    gflags::SetVersionString(KUMQUAT_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    if (words.empty()) {
+        return fail(usage);
+    }
+    std::string key;
+    if (!FLAGS_key.empty()) {
+        const auto read = readClusterKey(FLAGS_key);
+        if (!read.ok()) {
+            return fail(std::string(read.status().message()));
+        }
+        key = *read;
+    }
+    ControlTool tool(key);
+    return run(words, tool);
+}
--- /dev/null
+++ b/include/kumquat/ControlProcess.h
@@ -0,0 +1,38 @@
+#pragma once
+/// \file
+/// Defines a member of the control group: the replicated, durable state of the system.
+/// It holds the configuration and the records of once-requests.
+
+#include "kumquat/Settings.h"
+
+#include <memory>
+
+namespace kumquat {
+
+class ControlProcess
+{
+public:
+    virtual ~ControlProcess() = default;
+
+    /// Serves until a planned stop has ended; a leader hands over first.
+    virtual void run() = 0;
+
+    /// Begins a planned stop; may be called from any thread.
+    virtual void stop() = 0;
+};
+
+class ControlProcessBuilder
+{
+public:
+    ControlProcessBuilder &settings(ControlSettings settings);
+    ControlProcessBuilder &clusterKey(std::string key);
+
+    /// Reads the data folder and opens the process's socket.
+    absl::StatusOr<std::unique_ptr<ControlProcess>> build();
+
+private:
+    ControlSettings settings_;
+    std::string key_;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/include/kumquat/Event.h
@@ -0,0 +1,58 @@
+#pragma once
+/// \file
+/// Defines the numbered log events that the processes write.
+/// docs/EVENTS.md is their catalogue: what each means and what an operator does about it.
+
+#include <spdlog/fmt/fmt.h>
+#include <string>
+
+namespace kumquat {
+
+enum class Event {
+    processStarted = 100,
+    processStopping = 101,
+    processStopped = 102,
+    processResumed = 103,
+    configurationTaken = 200,
+    configurationRejected = 201,
+    configurationAccepted = 202,
+    controlUnreachable = 203,
+    targetAnnounced = 300,
+    targetDraining = 301,
+    targetGone = 302,
+    targetEjected = 303,
+    targetReturned = 304,
+    targetSilent = 305,
+    peerUp = 310,
+    peerDown = 311,
+    requestQuarantined = 320,
+    leaderElected = 400,
+    leaderLost = 401,
+    memberReadmitted = 402,
+    logDamaged = 403,
+    snapshotTaken = 404,
+    snapshotInstalled = 405,
+    groupFormed = 406,
+    onceUnknown = 500,
+    badDatagram = 600,
+    badRequest = 601,
+};
+
+enum class LogLevel { info, warning, error };
+
+/// Starts asynchronous logging to standard error; call once, first thing in main().
+void startLogging(const std::string &processName);
+
+/// Writes what is still queued and stops the log's thread.
+void stopLogging();
+
+void writeEvent(Event event, LogLevel level, const std::string &text);
+
+/// Logs \p event as one line: time, level, process, event number, text.
+template <typename... Args>
+void logEvent(Event event, LogLevel level, const char *format, const Args &...args)
+{
+    writeEvent(event, level, fmt::format(fmt::runtime(format), args...));
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,313 @@
+"""Starts a local fleet of kumquatdeal processes: control group, entries, stand-in targets.
+
+Used by the demo, the tests of whole processes and the measurements. Every process is started
+here and ended by its own process ID; all addresses are on loopback.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+
+PROFILES = {
+    "clearline": {
+        "domains": ["khomas-1", "khomas-2", "khomas-3"],
+        "services": [("catalogue", 20, 2), ("orders", 10, 2), ("drawings", 6, 2)],
+        "mix": "catalogue:lookup:0.80:10,orders:booking:0.12:15,drawings:upload:0.08:20",
+        "rate": 900,
+    },
+    "authority": {
+        "domains": ["muscat-1", "muscat-2", "muscat-3"],
+        "services": [("ledger", 20, 4), ("dispatch", 10, 4), ("calibrate", 6, 4)],
+        "mix": "ledger:lookup:0.80:10,dispatch:booking:0.12:15,calibrate:upload:0.08:20",
+        "rate": 1200,
+    },
+}
+
+
+def wait_until(check, seconds, what):
+    """Polls until check() holds; raises with the name of what was awaited."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            if check():
+                return
+        except (OSError, ValueError, KeyError, RuntimeError, subprocess.SubprocessError):
+            pass
+        time.sleep(0.05)
+    raise RuntimeError("timed out waiting for " + what)
+
+
+class Process:
+    """One process, known by its ID; its log goes to a file in the fleet's folder."""
+
+    def __init__(self, name, command, folder):
+        self.name = name
+        self.command = command
+        self.log = os.path.join(folder, name + ".log")
+        self.handle = None
+        self.start()
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.handle = subprocess.Popen(self.command, stdout=log, stderr=log)
+
+    @property
+    def pid(self):
+        return self.handle.pid
+
+    def signal(self, number):
+        os.kill(self.pid, number)
+
+    def stop(self, seconds=20):
+        if self.handle.poll() is None:
+            self.handle.send_signal(signal.SIGCONT)
+            self.handle.terminate()
+            try:
+                self.handle.wait(seconds)
+            except subprocess.TimeoutExpired:
+                self.kill()
+        return self.handle.returncode
+
+    def kill(self):
+        if self.handle.poll() is None:
+            self.handle.kill()
+            self.handle.wait()
+
+    def cpu_seconds(self):
+        with open(f"/proc/{self.pid}/stat") as stat:
+            fields = stat.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def memory_mb(self):
+        with open(f"/proc/{self.pid}/status") as status:
+            for line in status:
+                if line.startswith("VmRSS"):
+                    return int(line.split()[1]) / 1024
+        return 0.0
+
+
+class Fleet:
+    """A control group, entries and one process of stand-in targets."""
+
+    def __init__(self, profile="clearline", entries=6, controls=3, build=None, base=0,
+                 services=None, threads=1, lease_ms=5000, work_ms=10, configuration=None,
+                 control_settings=None, gossip_ports=None, seed=1):
+        self.profile = PROFILES[profile]
+        self.services = services or self.profile["services"]
+        self.build = build or os.environ.get("KUMQUAT_BUILD", os.path.join(ROOT, "build"))
+        self.folder = tempfile.mkdtemp(prefix="kumquat-fleet-")
+        self.configuration = configuration or os.path.join(ROOT, "examples", profile,
+                                                           "configuration")
+        self.base = base
+        self.entry_count = entries
+        self.control_count = controls
+        self.threads = threads
+        self.lease_ms = lease_ms
+        self.work_ms = work_ms
+        self.seed = seed
+        self.control_settings = control_settings or {}
+        self.control = []
+        self.entry = []
+        self.standin = None
+        self.key = os.path.join(self.folder, "cluster.key")
+        # What each entry believes its peers' gossip addresses to be; tests put relays here.
+        self.gossip_ports = gossip_ports
+        with open(self.key, "w") as file:
+            file.write("local-fleet-" + os.urandom(16).hex() + "\n")
+
+    # Addresses.
+
+    def control_address(self, i):
+        return f"127.0.0.1:{7101 + self.base + i}"
+
+    def caller_address(self, i):
+        return f"127.0.0.1:{8001 + self.base + i}"
+
+    def internal_address(self, i):
+        return f"127.0.0.1:{9001 + self.base + i}"
+
+    def gossip_address(self, i):
+        return f"127.0.0.1:{9201 + self.base + i}"
+
+    @property
+    def admin_address(self):
+        return f"127.0.0.1:{9901 + self.base}"
+
+    @property
+    def controls_text(self):
+        return ",".join(self.control_address(i) for i in range(self.control_count))
+
+    @property
+    def callers_text(self):
+        return ",".join(self.caller_address(i) for i in range(self.entry_count))
+
+    # Start and stop.
+
+    def program(self, name):
+        return os.path.join(self.build, name)
+
+    def write_settings(self, name, settings):
+        path = os.path.join(self.folder, name + ".json")
+        with open(path, "w") as file:
+            json.dump(settings, file, indent=2)
+        return path
+
+    def start_control(self, i):
+        domains = self.profile["domains"]
+        settings = {
+            "name": f"control-{i}",
+            "failureDomain": domains[i % len(domains)],
+            "dataFolder": os.path.join(self.folder, f"control-{i}.data"),
+            "members": [{"name": f"control-{j}", "address": self.control_address(j)}
+                        for j in range(self.control_count)],
+            "clusterKeyFile": self.key,
+        }
+        settings.update(self.control_settings)
+        path = self.write_settings(f"control-{i}", settings)
+        return Process(f"control-{i}", [self.program("kumquat-control"), "--settings", path],
+                       self.folder)
+
+    def start_entry(self, i):
+        domains = self.profile["domains"]
+        peers = [self.gossip_address(j) for j in range(self.entry_count) if j != i]
+        settings = {
+            "name": f"entry-{i}",
+            "failureDomain": domains[i % len(domains)],
+            "callerAddress": self.caller_address(i),
+            "internalAddress": self.internal_address(i),
+            "gossipAddress": self.gossip_address(i),
+            "gossipPeers": peers,
+            "controlMembers": [self.control_address(j) for j in range(self.control_count)],
+            "clusterKeyFile": self.key,
+            "threads": self.threads,
+        }
+        path = self.write_settings(f"entry-{i}", settings)
+        return Process(f"entry-{i}", [self.program("kumquat-entry"), "--settings", path],
+                       self.folder)
+
+    def start_standin(self):
+        services = ",".join(f"{name}:{count}:{slots}" for name, count, slots in self.services)
+        internals = ",".join(self.internal_address(i) for i in range(self.entry_count))
+        return Process("standin", [
+            self.program("kumquat-standin"), "--services", services, "--entries", internals,
+            "--domains", ",".join(self.profile["domains"]), "--admin", self.admin_address,
+            "--first_port", str(20000 + 4 * self.base), "--lease_ms", str(self.lease_ms),
+            "--work_ms", str(self.work_ms), "--seed", str(self.seed)], self.folder)
+
+    def start(self):
+        self.control = [self.start_control(i) for i in range(self.control_count)]
+        wait_until(lambda: self.dump(self.control_address(0)), 10, "the first control member")
+        self.ctl("form", control=self.control_address(0))
+        wait_until(self.group_is_whole, 15, "all control members to be voters")
+        self.ctl("apply", self.configuration)
+        self.entry = [self.start_entry(i) for i in range(self.entry_count)]
+        self.standin = self.start_standin()
+        wait_until(self.entries_ready, 20, "all entries to know all targets")
+        return self
+
+    def stop(self):
+        """Ends everything; gives the return codes by name."""
+        processes = self.entry + ([self.standin] if self.standin else []) + self.control
+        for process in processes:
+            if process.handle.poll() is None:
+                process.handle.send_signal(signal.SIGCONT)
+                process.handle.terminate()
+        return {process.name: process.stop() for process in processes}
+
+    def __enter__(self):
+        try:
+            return self.start()
+        except Exception:
+            self.stop()
+            raise
+
+    def __exit__(self, *_):
+        self.stop()
+
+    # Questions.
+
+    def get(self, address, path, timeout=2):
+        with urllib.request.urlopen(f"http://{address}{path}", timeout=timeout) as answer:
+            return answer.read().decode()
+
+    def dump(self, address):
+        return json.loads(self.get(address, "/kumquat/v1/dump"))
+
+    def metrics(self, address):
+        values = {}
+        for line in self.get(address, "/kumquat/v1/metrics").splitlines():
+            name, value = line.rsplit(" ", 1)
+            values[name] = float(value)
+        return values
+
+    def report(self):
+        return json.loads(self.get(self.admin_address, "/report"))
+
+    def behave(self, targets, **changes):
+        request = urllib.request.Request(f"http://{self.admin_address}/behaviour/{targets}",
+                                         data=json.dumps(changes).encode(), method="POST")
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return json.loads(answer.read().decode())["changed"]
+
+    def group_is_whole(self):
+        voters = [m for m in self.dump(self.leader_address())["members"] if m["voter"]]
+        return len(voters) == self.control_count
+
+    def leader(self):
+        """The position of the member that leads."""
+        for i in range(self.control_count):
+            try:
+                if self.dump(self.control_address(i))["role"] == "leader":
+                    return i
+            except OSError:
+                continue
+        raise RuntimeError("no control member leads")
+
+    def leader_address(self):
+        return self.control_address(self.leader())
+
+    def entries_ready(self):
+        wanted = sum(count for _, count, _ in self.services)
+        for i in range(self.entry_count):
+            dump = self.dump(self.internal_address(i))
+            ready = sum(t["state"] == "ready" for s in dump["services"] for t in s["targets"])
+            if not dump["ready"] or ready < wanted or dump["livePeers"] < self.entry_count - 1:
+                return False
+        return True
+
+    def ctl(self, *words, control=None, check=True):
+        command = [self.program("kumquatctl"), "--control", control or self.controls_text,
+                   "--key", self.key, *words]
+        return subprocess.run(command, check=check, capture_output=True, text=True, timeout=60)
+
+    def load_command(self, **flags):
+        flags.setdefault("entries", self.callers_text)
+        flags.setdefault("standin", self.admin_address)
+        return [self.program("kumquat-load")] + [f"--{k}={v}" for k, v in flags.items()]
+
+    def load(self, **flags):
+        """Runs a load to its end; gives its result and whether it found all answers honest."""
+        done = subprocess.run(self.load_command(json="true", **flags), capture_output=True,
+                              text=True, timeout=600)
+        return json.loads(done.stdout), done.returncode == 0
+
+    def start_load(self, **flags):
+        return subprocess.Popen(self.load_command(json="true", **flags), stdout=subprocess.PIPE,
+                                text=True)
+
+
+def finish_load(handle):
+    """The result of a load begun with start_load(), and whether all was honest."""
+    out, _ = handle.communicate(timeout=600)
+    return json.loads(out), handle.returncode == 0
+
+
+if __name__ == "__main__":
+    sys.exit("a module; see scripts/demo")
--- /dev/null
+++ b/src/common/JsonReader.cpp
@@ -0,0 +1,174 @@
+#include "common/JsonReader.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+namespace kumquat {
+
+namespace {
+
+const Json::Value nullValue;
+
+} // namespace
+
+void JsonProblems::add(const std::string &path, const std::string &what, const std::string &remedy)
+{
+    lines_.push_back(absl::StrCat(file_, ": ", path.empty() ? "/" : path, ": ", what, " (", remedy,
+                                  ")"));
+}
+
+absl::Status JsonProblems::status(ErrorKind kind) const
+{
+    if (lines_.empty()) {
+        return absl::OkStatus();
+    }
+    return makeError(kind, absl::StrJoin(lines_, "\n"), "correct each line above and check again");
+}
+
+absl::StatusOr<Json::Value> parseJson(const std::string &file, const std::string &text,
+                                      ErrorKind kind)
+{
+    Json::CharReaderBuilder builder;
+    builder["allowComments"] = true;
+    builder["rejectDupKeys"] = true;
+    builder["failIfExtra"] = true;
+    builder["stackLimit"] = 64;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value value;
+    std::string problem;
+    bool parsed = false;
+    try {
+        parsed = reader->parse(text.data(), text.data() + text.size(), &value, &problem);
+    } catch (const Json::Exception &exception) {
+        problem = exception.what();
+    }
+    if (!parsed) {
+        return makeError(kind, file + ": not JSON: " + problem,
+                         "write one JSON value; comments are allowed, repeated keys are not");
+    }
+    return value;
+}
+
+std::string writeJson(const Json::Value &value, bool indented)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = indented ? "  " : "";
+    builder["commentStyle"] = "None";
+    return Json::writeString(builder, value);
+}
+
+JsonObject::JsonObject(const Json::Value &value, std::string path, JsonProblems &problems) :
+    value_(value.isObject() ? value : nullValue), path_(std::move(path)), problems_(problems)
+{
+    if (!value.isObject()) {
+        problems_.add(path_, "is not an object", "write { ... }");
+    }
+}
+
+const Json::Value &JsonObject::member(const char *key)
+{
+    asked_.insert(key);
+    return value_.isObject() && value_.isMember(key) ? value_[key] : nullValue;
+}
+
+const Json::Value &JsonObject::required(const char *key)
+{
+    const Json::Value &value = member(key);
+    if (value.isNull() && value_.isObject()) {
+        problems_.add(pathOf(key), "is missing", "add it");
+    }
+    return value;
+}
+
+std::string JsonObject::text(const char *key)
+{
+    const Json::Value &value = required(key);
+    if (!value.isNull() && (!value.isString() || value.asString().empty())) {
+        problems_.add(pathOf(key), "is " + writeJson(value), "write a text that is not empty");
+    }
+    return value.isString() ? value.asString() : "";
+}
+
+std::string JsonObject::text(const char *key, const std::string &fallback)
+{
+    return member(key).isNull() ? fallback : text(key);
+}
+
+std::int64_t JsonObject::checkedInteger(const Json::Value &value, const char *key,
+                                        std::int64_t low, std::int64_t high)
+{
+    if (value.isInt64() && value.asInt64() >= low && value.asInt64() <= high) {
+        return value.asInt64();
+    }
+    problems_.add(pathOf(key), "is " + writeJson(value),
+                  absl::StrCat("write a whole number from ", low, " to ", high));
+    return low;
+}
+
+std::int64_t JsonObject::integer(const char *key, std::int64_t low, std::int64_t high)
+{
+    const Json::Value &value = required(key);
+    return value.isNull() ? low : checkedInteger(value, key, low, high);
+}
+
+std::int64_t JsonObject::integer(const char *key, std::int64_t low, std::int64_t high,
+                                 std::int64_t fallback)
+{
+    const Json::Value &value = member(key);
+    return value.isNull() ? fallback : checkedInteger(value, key, low, high);
+}
+
+double JsonObject::number(const char *key, double low, double high, double fallback)
+{
+    const Json::Value &value = member(key);
+    if (value.isNull()) {
+        return fallback;
+    }
+    if (value.isNumeric() && value.asDouble() >= low && value.asDouble() <= high) {
+        return value.asDouble();
+    }
+    problems_.add(pathOf(key), "is " + writeJson(value),
+                  absl::StrCat("write a number from ", low, " to ", high));
+    return fallback;
+}
+
+Milliseconds JsonObject::milliseconds(const char *key, Milliseconds low, Milliseconds high,
+                                      Milliseconds fallback)
+{
+    return Milliseconds(integer(key, low.count(), high.count(), fallback.count()));
+}
+
+std::vector<std::string> JsonObject::texts(const char *key, bool required)
+{
+    const Json::Value &value = required ? this->required(key) : member(key);
+    std::vector<std::string> result;
+    if (value.isNull()) {
+        return result;
+    }
+    if (!value.isArray()) {
+        problems_.add(pathOf(key), "is " + writeJson(value), "write a list of texts");
+        return result;
+    }
+    for (const Json::Value &item : value) {
+        if (item.isString() && !item.asString().empty()) {
+            result.push_back(item.asString());
+        } else {
+            problems_.add(pathOf(key), "holds " + writeJson(item), "write only texts in it");
+        }
+    }
+    return result;
+}
+
+void JsonObject::finish()
+{
+    if (!value_.isObject()) {
+        return;
+    }
+    for (const std::string &key : value_.getMemberNames()) {
+        if (asked_.count(key) == 0) {
+            problems_.add(pathOf(key.c_str()), "is not a known key", "remove it or mend its name");
+        }
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/common/JsonReader.h
@@ -0,0 +1,73 @@
+#pragma once
+/// \file
+/// Reads JSON with comments into typed values and collects every problem on the way.
+/// A problem names the file, the path inside the JSON, the value seen and the remedy.
+
+#include "common/Time.h"
+#include "kumquat/Error.h"
+
+#include <absl/status/statusor.h>
+#include <json/json.h>
+#include <set>
+#include <vector>
+
+namespace kumquat {
+
+/// The problems of one document or one merge, in the order found.
+class JsonProblems
+{
+public:
+    explicit JsonProblems(std::string file) : file_(std::move(file)) { }
+
+    void add(const std::string &path, const std::string &what, const std::string &remedy);
+    bool empty() const { return lines_.empty(); }
+
+    /// OK when there is no problem, else one error of \p kind that lists them all.
+    absl::Status status(ErrorKind kind) const;
+
+private:
+    std::string file_;
+    std::vector<std::string> lines_;
+};
+
+/// Parses JSON; comments are allowed, duplicate keys and trailing text are not.
+absl::StatusOr<Json::Value> parseJson(const std::string &file, const std::string &text,
+                                      ErrorKind kind);
+
+std::string writeJson(const Json::Value &value, bool indented = false);
+
+/// Reads the members of one JSON object; members that nobody asked for are problems.
+class JsonObject
+{
+public:
+    JsonObject(const Json::Value &value, std::string path, JsonProblems &problems);
+
+    std::string text(const char *key);
+    std::string text(const char *key, const std::string &fallback);
+    std::int64_t integer(const char *key, std::int64_t low, std::int64_t high);
+    std::int64_t integer(const char *key, std::int64_t low, std::int64_t high,
+                         std::int64_t fallback);
+    double number(const char *key, double low, double high, double fallback);
+    Milliseconds milliseconds(const char *key, Milliseconds low, Milliseconds high,
+                              Milliseconds fallback);
+    std::vector<std::string> texts(const char *key, bool required);
+
+    /// The member \p key, or null when it is absent.
+    const Json::Value &member(const char *key);
+    std::string pathOf(const char *key) const { return path_ + "/" + key; }
+
+    /// Reports the members that were never asked for.
+    void finish();
+
+private:
+    const Json::Value &required(const char *key);
+    std::int64_t checkedInteger(const Json::Value &value, const char *key, std::int64_t low,
+                                std::int64_t high);
+
+    const Json::Value &value_;
+    std::string path_;
+    JsonProblems &problems_;
+    std::set<std::string> asked_;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/common/Program.h
@@ -0,0 +1,21 @@
+#pragma once
+/// \file
+/// Starts a daemon: command line, logs, signals.
+/// Every program of the system begins main() with it.
+
+#include <absl/status/status.h>
+#include <functional>
+#include <string>
+
+namespace kumquat {
+
+/// Calls \p onStop on SIGTERM or SIGINT, from a thread of its own.
+void onStopSignal(std::function<void()> onStop);
+
+/// Ignores SIGPIPE, blocks the stop signals for all threads started later, starts the log.
+void startProgram(const std::string &name);
+
+/// Prints \p status to standard error; returns the exit code that main() should return.
+int failProgram(const absl::Status &status);
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/Attempt.cpp
@@ -0,0 +1,228 @@
+#include "coordination/Attempt.h"
+
+#include "protocol/Headers.h"
+#include "protocol/Wire.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+constexpr unsigned firstServerError = 500;
+
+bool isServerError(const HttpResponse &response)
+{
+    return response.result_int() >= firstServerError;
+}
+
+void stripSystemHeaders(http::fields &fields)
+{
+    removeHopByHop(fields);
+    // A target must not speak in the system's name.
+    fields.erase(wire::outcome);
+    fields.erase(wire::reason);
+    fields.erase(wire::load);
+    fields.erase(wire::shed);
+}
+
+AttemptEnd endOf(ErrorCode error)
+{
+    const bool late
+        = error == beast::error::timeout || error == asio::error::operation_aborted;
+    return late ? AttemptEnd::timedOut : AttemptEnd::broken;
+}
+
+// A connection that was fine a moment ago and brings nothing may have been forgotten by something
+// between the two ends; then its idle sisters are no better.
+void blameSilence(Worker &worker, const Target &target, const TargetConnection &connection)
+{
+    if (!connection.hasAnswered() && !connection.isFresh()) {
+        target.stats->suspectConnections(Clock::now());
+        worker.pool.drop(target.address);
+    }
+}
+
+AttemptEnd exchange(TargetConnection &connection, const HttpRequest &request,
+                    const AttemptOptions &options, HttpResponse &response, ErrorCode &error,
+                    Yield yield)
+{
+    connection.setDeadline(options.deadline);
+    error = connection.sendWhole(request, yield);
+    if (!error) {
+        error = connection.readHead(request.method() == http::verb::head, yield);
+    }
+    std::string body;
+    if (!error) {
+        error = connection.readBody(body, options.bufferBytes, yield);
+    }
+    if (error) {
+        return endOf(error);
+    }
+    response = HttpResponse(connection.head());
+    response.body() = std::move(body);
+    if (isShed(response.result_int(), response)) {
+        return AttemptEnd::shed;
+    }
+    return connection.answerWhole() ? AttemptEnd::answered : AttemptEnd::streaming;
+}
+
+void observe(Worker &worker, const ActiveService &service, const Target &target,
+             const AttemptOptions &options, const AttemptResult &result, ErrorCode error,
+             Clock::duration elapsed)
+{
+    const TimePoint now = Clock::now();
+    TargetStats &stats = *target.stats;
+    const auto report = readLoadReport(result.response);
+    if (report) {
+        stats.recordReport(report->inFlight - 1, now);
+    }
+    switch (result.end) {
+    case AttemptEnd::answered:
+        stats.recordAnswer(elapsed, isServerError(result.response), now);
+        worker.hooks.clearRequest(options.fingerprint);
+        if (!isServerError(result.response)) {
+            service.runtime->recordServiceTime(elapsed);
+        }
+        break;
+    case AttemptEnd::shed:
+        ++service.runtime->counters.sheds;
+        stats.recordShed(now);
+        break;
+    case AttemptEnd::broken: {
+        stats.recordBroken(now);
+        const bool ended = error == http::error::end_of_stream
+            || error == http::error::partial_message || error == asio::error::connection_reset
+            || error == asio::error::broken_pipe || error == asio::error::eof;
+        // A target that is merely being stopped is no evidence against the request.
+        if (ended && target.record.state == TargetState::ready) {
+            worker.hooks.suspectRequest(options.fingerprint, target.record.name);
+        }
+        break;
+    }
+    case AttemptEnd::notSent:
+        stats.recordBroken(now);
+        break;
+    case AttemptEnd::timedOut:
+    case AttemptEnd::streaming:
+        break;
+    }
+}
+
+} // namespace
+
+bool provesNotRun(AttemptEnd end)
+{
+    return end == AttemptEnd::shed || end == AttemptEnd::notSent;
+}
+
+void AttemptHandle::cancel()
+{
+    cancelled = true;
+    if (connection != nullptr) {
+        connection->close();
+    }
+}
+
+std::unique_ptr<TargetConnection> connectTo(Worker &worker, const Target &target,
+                                            const AttemptOptions &options, AttemptHandle &handle,
+                                            Yield yield)
+{
+    std::unique_ptr<TargetConnection> connection;
+    if (!options.onlyFresh) {
+        const TimePoint newerThan
+            = std::max(Clock::now() - options.maxIdle, target.stats->suspectBefore());
+        connection = worker.pool.takeIdle(target.address, newerThan);
+    }
+    if (!connection) {
+        connection = worker.pool.makeConnection(target.address);
+        handle.connection = connection.get();
+        if (connection->dial(options.deadline, yield) || handle.cancelled) {
+            handle.connection = nullptr;
+            return nullptr;
+        }
+    }
+    handle.connection = connection.get();
+    return connection;
+}
+
+AttemptResult runAttempt(Worker &worker, const ActiveService &service, const TargetPtr &target,
+                         const HttpRequest &request, const AttemptOptions &options,
+                         AttemptHandle &handle, Yield yield)
+{
+    const TimePoint start = Clock::now();
+    AttemptResult result;
+    result.target = target;
+    ErrorCode error;
+    std::unique_ptr<TargetConnection> connection
+        = connectTo(worker, *target, options, handle, yield);
+    if (connection) {
+        result.end = exchange(*connection, request, options, result.response, error, yield);
+    }
+    handle.connection = nullptr;
+    if (!handle.cancelled) {
+        observe(worker, service, *target, options, result, error, Clock::now() - start);
+    }
+    if (connection && result.end == AttemptEnd::timedOut) {
+        blameSilence(worker, *target, *connection);
+    }
+    stripSystemHeaders(result.response);
+    if (result.end == AttemptEnd::streaming) {
+        result.connection = std::move(connection);
+        return result;
+    }
+    if (connection && connection->reusable()) {
+        worker.pool.giveBack(std::move(connection));
+    }
+    releaseTarget(service, *target);
+    return result;
+}
+
+TargetPtr waitForTarget(Worker &worker, const ActiveService &service,
+                        const std::vector<std::string> &tried, TimePoint deadline,
+                        RefusalReason &reason, Yield yield)
+{
+    const std::size_t queue = static_cast<std::size_t>(service.configuration.limits.queue);
+    while (true) {
+        const TimePoint now = Clock::now();
+        TargetPtr target = acquireTarget(service, tried, now, worker.random);
+        if (target) {
+            return target;
+        }
+        if (usableTargets(service, now) <= tried.size()) {
+            reason = RefusalReason::noTarget;
+            return nullptr;
+        }
+        if (now + expectedWait(service, now) >= deadline) {
+            reason = RefusalReason::overloaded;
+            return nullptr;
+        }
+        const auto waiter = std::make_shared<Waiter>(worker.loop);
+        if (!service.runtime->tryWait(waiter, queue)) {
+            reason = RefusalReason::overloaded;
+            return nullptr;
+        }
+        ErrorCode ignored;
+        if (!waiter->woken) {
+            waiter->timer.expires_at(deadline);
+            waiter->timer.async_wait(yield[ignored]);
+        }
+        if (!waiter->woken) {
+            service.runtime->cancelWait(waiter);
+            reason = RefusalReason::overloaded;
+            return nullptr;
+        }
+    }
+}
+
+http::request_header<> forwardedHeader(const http::request_header<> &header, TimePoint deadline)
+{
+    http::request_header<> forwarded = header;
+    removeHopByHop(forwarded);
+    const auto remaining
+        = std::chrono::duration_cast<Milliseconds>(deadline - Clock::now()).count();
+    forwarded.set(wire::deadline, std::to_string(std::max<std::int64_t>(1, remaining)));
+    return forwarded;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/Chooser.cpp
@@ -0,0 +1,87 @@
+#include "kumquat/Chooser.h"
+
+#include "kumquat/Error.h"
+
+#include <algorithm>
+#include <atomic>
+#include <memory>
+
+namespace kumquat {
+
+namespace {
+
+constexpr double shedPenalty = 4;
+constexpr double errorPenalty = 8;
+constexpr double slowdownFloor = 1.5;
+
+double ownLoad(const Candidate &candidate)
+{
+    return static_cast<double>(candidate.inFlight) / candidate.slots;
+}
+
+// Work that a new request would find there, in slots, made larger for a slow or failing target.
+// Example: 2 slots, 1 own and 1 foreign request -> (1 + 1 + 1) / 2 = 1.5; the same target at three
+// times its peers' latency -> 4.5.
+double estimate(const Candidate &candidate)
+{
+    const double load = (candidate.inFlight + candidate.foreignLoad + 1) / candidate.slots;
+    const double slow = candidate.slowdown > slowdownFloor ? candidate.slowdown : 1;
+    const double shed = candidate.shedRecently ? shedPenalty : 0;
+    return load * slow * (1 + errorPenalty * candidate.errorRate) + shed;
+}
+
+// The smallest score wins; the walk starts at a random place so that ties are spread.
+template <typename Score>
+std::size_t smallest(const std::vector<Candidate> &candidates, std::uint64_t random, Score score)
+{
+    const std::size_t count = candidates.size();
+    std::size_t best = random % count;
+    double bestScore = score(candidates[best]);
+    for (std::size_t step = 1; step < count; ++step) {
+        const std::size_t position = (random + step) % count;
+        const double present = score(candidates[position]);
+        if (present < bestScore) {
+            best = position;
+            bestScore = present;
+        }
+    }
+    return best;
+}
+
+std::size_t twoChoices(const std::vector<Candidate> &candidates, std::uint64_t random)
+{
+    const std::size_t first = (random & 0xffffffffU) % candidates.size();
+    const std::size_t second = (random >> 32U) % candidates.size();
+    return estimate(candidates[first]) <= estimate(candidates[second]) ? first : second;
+}
+
+} // namespace
+
+Chooser makeChooser(const std::string &name)
+{
+    if (name == "random") {
+        return [](const std::vector<Candidate> &candidates, std::uint64_t random) {
+            return static_cast<std::size_t>(random % candidates.size());
+        };
+    }
+    if (name == "round-robin") {
+        auto next = std::make_shared<std::atomic<std::size_t>>(0);
+        return [next](const std::vector<Candidate> &candidates, std::uint64_t) {
+            return next->fetch_add(1) % candidates.size();
+        };
+    }
+    if (name == "least-in-flight") {
+        return [](const std::vector<Candidate> &candidates, std::uint64_t random) {
+            return smallest(candidates, random, ownLoad);
+        };
+    }
+    if (name == "power-of-two") {
+        return twoChoices;
+    }
+    KUMQUAT_ASSERT(name == "smallest-estimate", name);
+    return [](const std::vector<Candidate> &candidates, std::uint64_t random) {
+        return smallest(candidates, random, estimate);
+    };
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/ControlClient.cpp
@@ -0,0 +1,91 @@
+#include "coordination/ControlClient.h"
+
+#include "protocol/Codec.h"
+#include "protocol/Wire.h"
+#include "transport/Spawn.h"
+
+namespace kumquat {
+
+namespace {
+
+constexpr Milliseconds retryPause { 30 };
+constexpr Milliseconds onceTry { 700 };
+constexpr char leaderHeader[] = "Kumquat-Leader";
+
+} // namespace
+
+ControlClient::ControlClient(asio::io_context &context,
+                             std::shared_ptr<Authenticator> authenticator,
+                             std::vector<Address> members,
+                             std::shared_ptr<std::atomic<std::size_t>> leader) :
+    context_(context), client_(context, std::move(authenticator)), members_(std::move(members)),
+    leader_(std::move(leader))
+{
+}
+
+// Tries the last known leader, then whom it names, then the others in turn, until the deadline.
+absl::StatusOr<HttpResponse> ControlClient::callLeader(const char *path, const std::string &body,
+                                                       TimePoint deadline, Milliseconds perTry,
+                                                       Yield yield)
+{
+    absl::Status last = makeError(ErrorKind::unavailable, "no control member has answered",
+                                  "see whether a majority of the control members runs");
+    while (Clock::now() < deadline) {
+        const std::size_t position = leader_->load() % members_.size();
+        const auto remaining
+            = std::chrono::duration_cast<Milliseconds>(deadline - Clock::now()) + Milliseconds(1);
+        auto response = client_.post(members_[position], path, body, std::min(perTry, remaining),
+                                     yield);
+        if (response.ok() && response->result() != http::status::misdirected_request) {
+            return response;
+        }
+        std::size_t next = position + 1;
+        if (response.ok()) {
+            const std::string named((*response)[leaderHeader]);
+            for (std::size_t i = 0; i < members_.size(); ++i) {
+                next = members_[i].text() == named ? i : next;
+            }
+        } else {
+            last = response.status();
+        }
+        std::size_t expected = position;
+        leader_->compare_exchange_strong(expected, next % members_.size());
+        pauseFor(context_, retryPause, yield);
+    }
+    return last;
+}
+
+absl::StatusOr<OnceReply> ControlClient::once(const OnceRequest &request, TimePoint deadline,
+                                              Yield yield)
+{
+    const auto response = callLeader(wire::oncePath, pack(request), deadline, onceTry, yield);
+    if (!response.ok()) {
+        return response.status();
+    }
+    if (response->result() != http::status::ok) {
+        return makeError(ErrorKind::unavailable, "control answered " + response->body(),
+                         "see the control leader's log");
+    }
+    return unpack<OnceReply>(response->body());
+}
+
+absl::StatusOr<std::optional<ConfigurationUpdate>>
+ControlClient::configuration(const ConfigurationPoll &poll, Milliseconds timeout, Yield yield)
+{
+    const auto response = callLeader(wire::configurationPath, pack(poll), Clock::now() + timeout,
+                                     timeout, yield);
+    if (!response.ok()) {
+        return response.status();
+    }
+    if (response->result() == http::status::no_content) {
+        return std::optional<ConfigurationUpdate>();
+    }
+    auto update = unpack<ConfigurationUpdate>(response->body());
+    if (!update.ok() || update->names.size() != update->contents.size()) {
+        return makeError(ErrorKind::badMessage, "the configuration cannot be read",
+                         "run the same version on every instance");
+    }
+    return std::optional<ConfigurationUpdate>(std::move(*update));
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/ControlClient.h
@@ -0,0 +1,57 @@
+#pragma once
+/// \file
+/// Calls the control group on behalf of an entry and keeps track of its leader.
+/// One object serves one event loop; several may share the last leader known.
+
+#include "coordination/RoutingTable.h"
+#include "protocol/OnceMessages.h"
+#include "transport/HttpClient.h"
+
+namespace kumquat {
+
+/// A configuration as the control group hands it out.
+struct ConfigurationUpdate
+{
+    std::uint64_t epoch = 0;
+    std::uint64_t number = 0;
+    std::vector<std::string> names;
+    std::vector<std::string> contents; ///< of the file with the same position in `names`
+    MSGPACK_DEFINE(epoch, number, names, contents)
+};
+
+/// Asks for a configuration newer than (epoch, number), waiting up to `waitMs` for one.
+struct ConfigurationPoll
+{
+    std::string entry;
+    std::uint64_t epoch = 0;
+    std::uint64_t number = 0;
+    std::int64_t waitMs = 0;
+    MSGPACK_DEFINE(entry, epoch, number, waitMs)
+};
+
+class ControlClient
+{
+public:
+    /// \p leader is the position of the leader in \p members, as last known.
+    ControlClient(asio::io_context &context, std::shared_ptr<Authenticator> authenticator,
+                  std::vector<Address> members, std::shared_ptr<std::atomic<std::size_t>> leader);
+
+    /// Fails with ErrorKind::unavailable or ErrorKind::timedOut; then the operation may still
+    /// take effect.
+    absl::StatusOr<OnceReply> once(const OnceRequest &request, TimePoint deadline, Yield yield);
+
+    /// The next configuration, or nothing when there is none newer within the wait.
+    absl::StatusOr<std::optional<ConfigurationUpdate>>
+    configuration(const ConfigurationPoll &poll, Milliseconds timeout, Yield yield);
+
+private:
+    absl::StatusOr<HttpResponse> callLeader(const char *path, const std::string &body,
+                                            TimePoint deadline, Milliseconds perTry, Yield yield);
+
+    asio::io_context &context_;
+    HttpClient client_;
+    std::vector<Address> members_;
+    std::shared_ptr<std::atomic<std::size_t>> leader_;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/ControlOperations.cpp
@@ -0,0 +1,225 @@
+// What operators can ask of a control member: group, configuration, once-records, status.
+#include "coordination/ControlServer.h"
+
+#include "common/JsonReader.h"
+#include "kumquat/Event.h"
+#include "transport/Spawn.h"
+
+#include <absl/strings/str_cat.h>
+#include <future>
+
+namespace kumquat {
+
+namespace {
+
+constexpr Milliseconds changeTime { 5'000 };
+constexpr Milliseconds entryReportTime { 5'000 };
+constexpr Seconds loopTime { 8 };
+
+ConfigurationChange readChange(const Json::Value &parameters)
+{
+    JsonProblems problems("request");
+    JsonObject object(parameters, "", problems);
+    ConfigurationChange change;
+    change.id = object.text("id", "check");
+    change.base = static_cast<std::uint64_t>(
+        object.integer("base", 0, std::numeric_limits<std::int64_t>::max(), 0));
+    change.removals = object.texts("removals", false);
+    const Json::Value &writes = object.member("writes");
+    for (Json::ArrayIndex i = 0; writes.isArray() && i < writes.size(); ++i) {
+        JsonObject write(writes[i], absl::StrCat("/writes/", i), problems);
+        const std::string name = write.text("name");
+        change.writes.push_back({ name, write.text("content") });
+        write.finish();
+    }
+    object.finish();
+    const absl::Status status = problems.status(ErrorKind::badMessage);
+    if (!status.ok()) {
+        throw RpcFailure { std::string(status.message()) };
+    }
+    return change;
+}
+
+template <typename Value>
+Value waitFor(std::future<Value> &future)
+{
+    if (future.wait_for(loopTime) != std::future_status::ready) {
+        throw RpcFailure { "no answer from the group in time; remedy: see status, then send it "
+                           "again with the same ID" };
+    }
+    return future.get();
+}
+
+} // namespace
+
+Json::Value ControlServer::onLoop(const std::function<Json::Value()> &read)
+{
+    auto promise = std::make_shared<std::promise<Json::Value>>();
+    auto future = promise->get_future();
+    asio::post(loop_, [promise, read] { promise->set_value(read()); });
+    return waitFor(future);
+}
+
+void ControlServer::requireLeadership()
+{
+    auto promise = std::make_shared<std::promise<bool>>();
+    auto future = promise->get_future();
+    asio::post(loop_, [this, promise] {
+        node_->confirmRead([promise](bool leads) { promise->set_value(leads); });
+    });
+    if (!waitFor(future)) {
+        const std::string leader
+            = onLoop([this] { return Json::Value(node_->raft().leaderAddress()); }).asString();
+        throw RpcFailure { "not-leader " + leader };
+    }
+}
+
+Json::Value ControlServer::rpcForm(const Json::Value &)
+{
+    return onLoop([this] {
+        Json::Value result;
+        const absl::Status formed = node_->form();
+        result["formed"] = formed.ok();
+        result["message"] = std::string(formed.message());
+        return result;
+    });
+}
+
+Json::Value ControlServer::rpcStatus(const Json::Value &)
+{
+    return onLoop([this] { return status(); });
+}
+
+Json::Value ControlServer::rpcCurrent(const Json::Value &)
+{
+    requireLeadership();
+    return onLoop([this] {
+        Json::Value result;
+        const ConfigurationHistory &history = node_->state().configuration();
+        result["epoch"] = Json::UInt64(node_->raft().epoch());
+        result["number"] = Json::UInt64(history.number());
+        result["files"] = Json::Value(Json::arrayValue);
+        for (const FileWrite &file : history.files()) {
+            Json::Value value;
+            value["name"] = file.name;
+            value["content"] = file.content;
+            result["files"].append(value);
+        }
+        return result;
+    });
+}
+
+Json::Value ControlServer::rpcCheck(const Json::Value &parameters)
+{
+    const ConfigurationChange change = readChange(parameters);
+    requireLeadership();
+    return onLoop([this, change] {
+        const absl::Status status
+            = checkFiles(changedFiles(node_->state().configuration().files(), change));
+        Json::Value result;
+        result["ok"] = status.ok();
+        result["message"] = std::string(status.message());
+        return result;
+    });
+}
+
+Json::Value ControlServer::rpcApply(const Json::Value &parameters)
+{
+    ControlCommand command;
+    command.change = readChange(parameters);
+    requireLeadership();
+    auto promise = std::make_shared<std::promise<absl::StatusOr<ControlResult>>>();
+    auto future = promise->get_future();
+    asio::post(loop_, [this, promise, command] {
+        spawnOn(loop_, [this, promise, command](Yield yield) {
+            promise->set_value(propose(command, changeTime, yield));
+        });
+    });
+    const absl::StatusOr<ControlResult> result = waitFor(future);
+    if (!result.ok()) {
+        throw RpcFailure { std::string(result.status().message()) };
+    }
+    static const char *const verdicts[] = { "accepted", "conflict", "refused" };
+    Json::Value value;
+    value["verdict"] = verdicts[static_cast<int>(result->change.verdict)];
+    value["number"] = Json::UInt64(result->change.number);
+    value["message"] = result->change.message;
+    if (result->change.verdict == ChangeVerdict::accepted) {
+        logEvent(Event::configurationAccepted, LogLevel::info, "number={} id={}",
+                 result->change.number, command.change.id);
+    }
+    return value;
+}
+
+Json::Value ControlServer::rpcOnceShow(const Json::Value &parameters)
+{
+    JsonProblems problems("request");
+    JsonObject object(parameters, "", problems);
+    const OnceScope scope { object.text("service"), object.text("key") };
+    if (!problems.empty()) {
+        throw RpcFailure { std::string(problems.status(ErrorKind::badMessage).message()) };
+    }
+    requireLeadership();
+    return onLoop([this, scope] {
+        Json::Value value;
+        const OnceRecord *record = node_->state().once().find(scope);
+        value["found"] = record != nullptr;
+        if (record != nullptr) {
+            value["phase"] = oncePhaseName(record->phase);
+            value["claimedAtMs"] = Json::Int64(record->claimedAtMs);
+            value["status"] = record->answer.status;
+        }
+        return value;
+    });
+}
+
+Json::Value ControlServer::status() const
+{
+    const Raft &raft = node_->raft();
+    Json::Value value;
+    value["name"] = settings_.name;
+    value["failureDomain"] = settings_.failureDomain;
+    value["role"] = raft.epoch() == 0 ? "no-group" : raftRoleName(raft.role());
+    value["voter"] = node_->isVoter();
+    value["epoch"] = Json::UInt64(raft.epoch());
+    value["term"] = Json::UInt64(raft.term());
+    value["leader"] = raft.leaderAddress();
+    value["lastIndex"] = Json::UInt64(raft.log().lastIndex());
+    value["committed"] = Json::UInt64(raft.committed());
+    value["snapshotIndex"] = Json::UInt64(raft.log().snapshot().index);
+    value["configurationNumber"] = Json::UInt64(node_->state().configuration().number());
+    value["onceRecords"] = Json::UInt64(node_->state().once().size());
+    value["members"] = Json::Value(Json::arrayValue);
+    for (const GroupMember &member : raft.members()) {
+        Json::Value item;
+        item["name"] = member.name;
+        item["address"] = member.address;
+        item["voter"] = member.voter;
+        value["members"].append(item);
+    }
+    value["entries"] = Json::Value(Json::arrayValue);
+    const TimePoint now = Clock::now();
+    for (const auto &entry : entries_) {
+        if (raft.leads() && now - entry.second.at < entryReportTime) {
+            Json::Value item;
+            item["name"] = entry.first;
+            item["number"] = Json::UInt64(entry.second.number);
+            value["entries"].append(item);
+        }
+    }
+    return value;
+}
+
+std::string ControlServer::metrics() const
+{
+    const Raft &raft = node_->raft();
+    return absl::StrCat("kumquat_control_leads ", raft.leads() ? 1 : 0, "\nkumquat_control_term ",
+                        raft.term(), "\nkumquat_control_committed ", raft.committed(),
+                        "\nkumquat_control_syncs_total ", node_->store().syncs(),
+                        "\nkumquat_control_log_bytes_total ", node_->store().bytesWritten(),
+                        "\nkumquat_control_peer_bytes_total ", links_->sentBytes(),
+                        "\nkumquat_control_once_calls_total ", claims_,
+                        "\nkumquat_control_once_records ", node_->state().once().size(), "\n");
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/ControlRpc.cpp
@@ -0,0 +1,86 @@
+#include "coordination/ControlRpc.h"
+
+#include <jsonrpccpp/common/errors.h>
+#include <jsonrpccpp/common/exception.h>
+#include <jsonrpccpp/server.h>
+
+namespace kumquat {
+
+namespace {
+
+constexpr int failureCode = -32000;
+
+} // namespace
+
+/// Takes messages from our own HTTP server in place of one of the library's.
+class ControlRpc::Connector : public jsonrpc::AbstractServerConnector
+{
+public:
+    bool StartListening() override { return true; }
+    bool StopListening() override { return true; }
+    bool SendResponse(const std::string &response, void *addInfo) override
+    {
+        *static_cast<std::string *>(addInfo) = response;
+        return true;
+    }
+};
+
+class ControlRpc::Server : public jsonrpc::AbstractServer<ControlRpc::Server>
+{
+public:
+    Server(Connector &connector, ControlRpcHooks hooks) :
+        jsonrpc::AbstractServer<Server>(connector, jsonrpc::JSONRPC_SERVER_V2),
+        hooks_(std::move(hooks))
+    {
+        add("form", &Server::form);
+        add("status", &Server::status);
+        add("current", &Server::current);
+        add("check", &Server::check);
+        add("apply", &Server::apply);
+        add("onceShow", &Server::onceShow);
+    }
+
+private:
+    void add(const char *name, void (Server::*method)(const Json::Value &, Json::Value &))
+    {
+        const jsonrpc::Procedure procedure(name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,
+                                           NULL);
+        bindAndAddMethod(procedure, method);
+    }
+
+    static void run(const ControlRpcHooks::Method &method, const Json::Value &in,
+                    Json::Value &out)
+    {
+        try {
+            out = method(in);
+        } catch (const RpcFailure &failure) {
+            throw jsonrpc::JsonRpcException(failureCode, failure.message);
+        }
+    }
+
+    void form(const Json::Value &in, Json::Value &out) { run(hooks_.form, in, out); }
+    void status(const Json::Value &in, Json::Value &out) { run(hooks_.status, in, out); }
+    void current(const Json::Value &in, Json::Value &out) { run(hooks_.current, in, out); }
+    void check(const Json::Value &in, Json::Value &out) { run(hooks_.check, in, out); }
+    void apply(const Json::Value &in, Json::Value &out) { run(hooks_.apply, in, out); }
+    void onceShow(const Json::Value &in, Json::Value &out) { run(hooks_.onceShow, in, out); }
+
+    ControlRpcHooks hooks_;
+};
+
+ControlRpc::ControlRpc(ControlRpcHooks hooks) :
+    connector_(std::make_unique<Connector>()),
+    server_(std::make_unique<Server>(*connector_, std::move(hooks)))
+{
+}
+
+ControlRpc::~ControlRpc() = default;
+
+std::string ControlRpc::handle(const std::string &message)
+{
+    std::string response;
+    connector_->OnRequest(message, &response);
+    return response;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/ControlServer.cpp
@@ -0,0 +1,314 @@
+#include "coordination/ControlServer.h"
+
+#include "common/JsonReader.h"
+#include "coordination/ControlClient.h"
+#include "kumquat/Event.h"
+#include "protocol/Codec.h"
+#include "protocol/Wire.h"
+#include "transport/Spawn.h"
+
+namespace kumquat {
+
+namespace {
+
+constexpr Milliseconds tickInterval { 20 };
+constexpr Milliseconds onceTime { 2'000 };
+constexpr Milliseconds longestPoll { 5'000 };
+constexpr char leaderHeader[] = "Kumquat-Leader";
+
+HttpResponse packedResponse(std::string body)
+{
+    return textResponse(http::status::ok, std::move(body), "application/msgpack");
+}
+
+HttpResponse badMessage(const absl::Status &status)
+{
+    return textResponse(http::status::bad_request, std::string(status.message()) + "\n",
+                        "text/plain");
+}
+
+} // namespace
+
+ControlServer::ControlServer(ControlSettings settings, const std::string &key) :
+    settings_(std::move(settings)), authenticator_(std::make_shared<Authenticator>(key))
+{
+    server_ = std::make_shared<HttpServer>(
+        loop_, [this](const HttpRequest &request, Yield yield) { return handle(request, yield); });
+    links_ = std::make_unique<PeerLinks>(loop_, authenticator_);
+    ControlRpcHooks methods;
+    methods.form = [this](const Json::Value &in) { return rpcForm(in); };
+    methods.status = [this](const Json::Value &in) { return rpcStatus(in); };
+    methods.current = [this](const Json::Value &in) { return rpcCurrent(in); };
+    methods.check = [this](const Json::Value &in) { return rpcCheck(in); };
+    methods.apply = [this](const Json::Value &in) { return rpcApply(in); };
+    methods.onceShow = [this](const Json::Value &in) { return rpcOnceShow(in); };
+    rpc_ = std::make_unique<ControlRpc>(std::move(methods));
+}
+
+absl::Status ControlServer::open()
+{
+    GroupNodeOptions options;
+    options.name = settings_.name;
+    options.seed = randomSeed();
+    options.snapshotEvery = static_cast<std::uint64_t>(settings_.snapshotEveryEntries);
+    options.onceCapacity = static_cast<std::uint64_t>(settings_.maxOnceRecords);
+    options.onceRetention = Seconds(settings_.onceRetentionSeconds);
+    for (const ControlMember &member : settings_.members) {
+        if (member.name == settings_.name) {
+            options.address = member.address;
+        } else {
+            options.peerAddresses.push_back(member.address);
+        }
+    }
+    address_ = *parseAddress(options.address);
+    GroupNodeHooks hooks;
+    hooks.now = Clock::now;
+    hooks.wallNow = wallTime;
+    hooks.send = [this](const std::string &to, const RaftMessage &message) {
+        links_->send(to, message);
+    };
+    hooks.applied = [this] {
+        for (asio::steady_timer *poll : polls_) {
+            poll->cancel();
+        }
+    };
+    hooks.storeFailed = [](const absl::Status &status) {
+        KUMQUAT_ASSERT(false, std::string(status.message()));
+    };
+    hooks.runStore = [this](std::function<absl::Status()> work,
+                            std::function<void(absl::Status)> done) {
+        asio::post(diskLoop_, [this, work = std::move(work), done = std::move(done)] {
+            const absl::Status status = work();
+            asio::post(loop_, [done, status] { done(status); });
+        });
+    };
+    Disk disk;
+    absl::Status status = openFolder(settings_.dataFolder, disk);
+    if (status.ok()) {
+        node_ = std::make_unique<GroupNode>(std::move(options), std::move(disk),
+                                            std::move(hooks));
+        status = node_->start();
+    }
+    return status.ok() ? server_->listen(address_) : status;
+}
+
+void ControlServer::run()
+{
+    const auto diskWork = asio::make_work_guard(diskLoop_);
+    const auto rpcWork = asio::make_work_guard(rpcLoop_);
+    std::thread diskThread([this] { diskLoop_.run(); });
+    std::thread rpcThread([this] { rpcLoop_.run(); });
+    spawnOn(loop_, [this](Yield yield) { tickForever(yield); });
+    loop_.run();
+    rpcLoop_.stop();
+    rpcThread.join();
+    diskLoop_.stop();
+    diskThread.join();
+}
+
+void ControlServer::stop()
+{
+    constexpr Milliseconds handOverTime { 300 };
+    asio::post(loop_, [this] { node_->handOver(); });
+    asio::post(loop_, [this] {
+        spawnOn(loop_, [this](Yield yield) {
+            pauseFor(loop_, handOverTime, yield);
+            server_->stop();
+            loop_.stop();
+        });
+    });
+}
+
+void ControlServer::tickForever(Yield yield)
+{
+    while (true) {
+        pauseFor(loop_, tickInterval, yield);
+        node_->tick();
+    }
+}
+
+HttpResponse ControlServer::misdirected() const
+{
+    HttpResponse response = textResponse(http::status::misdirected_request, "not the leader\n",
+                                         "text/plain");
+    response.set(leaderHeader, node_->raft().leaderAddress());
+    return response;
+}
+
+HttpResponse ControlServer::handle(const HttpRequest &request, Yield yield)
+{
+    const std::string path(request.target());
+    if (request.method() == http::verb::get && path == wire::dumpPath) {
+        return textResponse(http::status::ok, writeJson(status(), true) + "\n");
+    }
+    if (request.method() == http::verb::get && path == wire::metricsPath) {
+        return textResponse(http::status::ok, metrics(), "text/plain; version=0.0.4");
+    }
+    const absl::Status authentic = verifyRequest(*authenticator_, request);
+    if (!authentic.ok()) {
+        return textResponse(http::status::forbidden, std::string(authentic.message()) + "\n",
+                            "text/plain");
+    }
+    if (path == wire::raftPath) {
+        return takeRaft(request);
+    }
+    if (path == wire::oncePath) {
+        return takeOnce(request, yield);
+    }
+    if (path == wire::configurationPath) {
+        return takePoll(request, yield);
+    }
+    if (path == wire::rpcPath) {
+        return takeRpc(request, yield);
+    }
+    return textResponse(http::status::not_found, "no such path; see docs/OPERATORS.md\n",
+                        "text/plain");
+}
+
+HttpResponse ControlServer::takeRaft(const HttpRequest &request)
+{
+    const auto batch = unpack<RaftBatch>(request.body());
+    if (!batch.ok()) {
+        return badMessage(batch.status());
+    }
+    for (const RaftMessage &message : batch->messages) {
+        node_->receive(message);
+    }
+    return textResponse(http::status::ok, "");
+}
+
+absl::StatusOr<ControlResult> ControlServer::propose(ControlCommand command,
+                                                     Milliseconds patience, Yield yield)
+{
+    struct Pending
+    {
+        explicit Pending(asio::io_context &loop, Milliseconds patience) : timer(loop, patience) { }
+        asio::steady_timer timer;
+        std::optional<absl::StatusOr<ControlResult>> result;
+    };
+    const auto pending = std::make_shared<Pending>(loop_, patience);
+    node_->propose(std::move(command), [pending](absl::StatusOr<ControlResult> result) {
+        pending->result = std::move(result);
+        pending->timer.cancel();
+    });
+    ErrorCode ignored;
+    if (!pending->result) {
+        pending->timer.async_wait(yield[ignored]);
+    }
+    if (!pending->result) {
+        return makeError(ErrorKind::timedOut, "the group has not committed it in time",
+                         "send it again with the same ID");
+    }
+    return std::move(*pending->result);
+}
+
+HttpResponse ControlServer::takeOnce(const HttpRequest &request, Yield yield)
+{
+    auto message = unpack<OnceRequest>(request.body());
+    if (!message.ok()) {
+        return badMessage(message.status());
+    }
+    if (!node_->raft().leads()) {
+        return misdirected();
+    }
+    ++claims_;
+    ControlCommand command;
+    command.type = CommandType::once;
+    command.once = std::move(*message);
+    const auto result = propose(std::move(command), onceTime, yield);
+    if (!result.ok()) {
+        return isError(result.status(), ErrorKind::notLeader)
+            ? misdirected()
+            : textResponse(http::status::service_unavailable,
+                           std::string(result.status().message()) + "\n", "text/plain");
+    }
+    return packedResponse(pack(result->once));
+}
+
+// Waits until a version newer than the one named is applied here; false when none came.
+bool ControlServer::waitForNewer(std::uint64_t epoch, std::uint64_t number, Milliseconds wait,
+                                 Yield yield)
+{
+    const TimePoint end = Clock::now() + std::min(wait, longestPoll);
+    const ConfigurationVersion known { epoch, number };
+    while (node_->raft().leads()) {
+        const ConfigurationVersion present { node_->raft().epoch(),
+                                             node_->state().configuration().number() };
+        if (present.number > 0 && known < present) {
+            return true;
+        }
+        if (Clock::now() >= end) {
+            return false;
+        }
+        asio::steady_timer timer(loop_, end);
+        ErrorCode ignored;
+        polls_.insert(&timer);
+        timer.async_wait(yield[ignored]);
+        polls_.erase(&timer);
+    }
+    return false;
+}
+
+bool ControlServer::confirmRead(Yield yield)
+{
+    constexpr Milliseconds patience { 700 };
+    struct Pending
+    {
+        explicit Pending(asio::io_context &loop, Milliseconds patience) : timer(loop, patience) { }
+        asio::steady_timer timer;
+        std::optional<bool> leads;
+    };
+    const auto pending = std::make_shared<Pending>(loop_, patience);
+    node_->confirmRead([pending](bool leads) {
+        pending->leads = leads;
+        pending->timer.cancel();
+    });
+    ErrorCode ignored;
+    if (!pending->leads) {
+        pending->timer.async_wait(yield[ignored]);
+    }
+    return pending->leads.value_or(false);
+}
+
+HttpResponse ControlServer::takePoll(const HttpRequest &request, Yield yield)
+{
+    const auto poll = unpack<ConfigurationPoll>(request.body());
+    if (!poll.ok()) {
+        return badMessage(poll.status());
+    }
+    if (!node_->raft().leads()) {
+        return misdirected();
+    }
+    entries_[poll->entry] = { poll->epoch, poll->number, Clock::now() };
+    // An entry that has nothing yet must not be handed an old version by a member that was cut
+    // off, so the first answer waits until a majority has confirmed that this member leads.
+    if (poll->number == 0 && !confirmRead(yield)) {
+        return misdirected();
+    }
+    if (!waitForNewer(poll->epoch, poll->number, Milliseconds(poll->waitMs), yield)) {
+        return node_->raft().leads() ? textResponse(http::status::no_content, "") : misdirected();
+    }
+    ConfigurationUpdate update;
+    update.epoch = node_->raft().epoch();
+    update.number = node_->state().configuration().number();
+    for (const FileWrite &file : node_->state().configuration().files()) {
+        update.names.push_back(file.name);
+        update.contents.push_back(file.content);
+    }
+    return packedResponse(pack(update));
+}
+
+HttpResponse ControlServer::takeRpc(const HttpRequest &request, Yield yield)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(loop_, TimePoint::max());
+    const auto answer = std::make_shared<std::string>();
+    asio::post(rpcLoop_, [this, timer, answer, body = request.body()] {
+        *answer = rpc_->handle(body);
+        asio::post(loop_, [timer] { timer->cancel(); });
+    });
+    ErrorCode ignored;
+    timer->async_wait(yield[ignored]);
+    return textResponse(http::status::ok, *answer);
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/ControlServer.h
@@ -0,0 +1,76 @@
+#pragma once
+/// \file
+/// Joins a group node to the outside: peers, entries and operators over one internal port.
+/// One event loop runs the node; a second thread writes to the disk, a third serves operators.
+
+#include "coordination/ControlRpc.h"
+#include "coordination/GroupNode.h"
+#include "coordination/PeerLinks.h"
+#include "kumquat/Settings.h"
+#include "transport/HttpClient.h"
+
+#include <thread>
+
+namespace kumquat {
+
+class ControlServer
+{
+public:
+    ControlServer(ControlSettings settings, const std::string &key);
+
+    absl::Status open();
+    /// Runs the event loop until stop().
+    void run();
+    void stop();
+
+private:
+    /// What an entry said of the configuration it has in force.
+    struct EntryReport
+    {
+        std::uint64_t epoch = 0;
+        std::uint64_t number = 0;
+        TimePoint at;
+    };
+
+    HttpResponse handle(const HttpRequest &request, Yield yield);
+    HttpResponse takeRaft(const HttpRequest &request);
+    HttpResponse takeOnce(const HttpRequest &request, Yield yield);
+    HttpResponse takePoll(const HttpRequest &request, Yield yield);
+    HttpResponse takeRpc(const HttpRequest &request, Yield yield);
+    HttpResponse misdirected() const;
+
+    bool waitForNewer(std::uint64_t epoch, std::uint64_t number, Milliseconds wait, Yield yield);
+    bool confirmRead(Yield yield);
+    absl::StatusOr<ControlResult> propose(ControlCommand command, Milliseconds patience,
+                                          Yield yield);
+    void tickForever(Yield yield);
+
+    // Called on the operators' thread; they wait for the event loop.
+    Json::Value rpcForm(const Json::Value &parameters);
+    Json::Value rpcStatus(const Json::Value &parameters);
+    Json::Value rpcCurrent(const Json::Value &parameters);
+    Json::Value rpcCheck(const Json::Value &parameters);
+    Json::Value rpcApply(const Json::Value &parameters);
+    Json::Value rpcOnceShow(const Json::Value &parameters);
+    void requireLeadership();
+    Json::Value onLoop(const std::function<Json::Value()> &read);
+
+    Json::Value status() const;
+    std::string metrics() const;
+
+    ControlSettings settings_;
+    Address address_;
+    asio::io_context loop_ { 1 };
+    asio::io_context diskLoop_ { 1 };
+    asio::io_context rpcLoop_ { 1 };
+    std::shared_ptr<Authenticator> authenticator_;
+    std::shared_ptr<HttpServer> server_;
+    std::unique_ptr<GroupNode> node_;
+    std::unique_ptr<PeerLinks> links_;
+    std::unique_ptr<ControlRpc> rpc_;
+    std::set<asio::steady_timer *> polls_; ///< each wakes a poll when the state changes
+    std::map<std::string, EntryReport> entries_;
+    std::uint64_t claims_ = 0;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/EntryCoordinator.cpp
@@ -0,0 +1,429 @@
+#include "coordination/EntryCoordinator.h"
+
+#include "common/JsonReader.h"
+#include "kumquat/Event.h"
+#include "protocol/Announcement.h"
+#include "protocol/Wire.h"
+#include "transport/Spawn.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+namespace kumquat {
+
+namespace {
+
+constexpr int ticksPerLeaseCheck = 5;
+constexpr Milliseconds probeTimeout { 500 };
+constexpr Milliseconds probePause { 1'000 };
+constexpr Milliseconds pollWait { 1'000 };
+constexpr Milliseconds pollTimeout { 1'500 };
+constexpr Milliseconds pollPause { 100 };
+constexpr Milliseconds spreadTime { 300 };
+constexpr Milliseconds refreshTime { 400 };
+constexpr double probeBurst = 5;
+constexpr char healthPath[] = "/health";
+constexpr char drainSuffix[] = "/drain";
+
+std::vector<Address> parsed(const std::vector<std::string> &texts)
+{
+    std::vector<Address> addresses;
+    for (const std::string &text : texts) {
+        addresses.push_back(*parseAddress(text));
+    }
+    return addresses;
+}
+
+HttpResponse errorResponse(http::status status, const absl::Status &error)
+{
+    Json::Value body;
+    body["error"] = std::string(error.message());
+    return textResponse(status, writeJson(body) + "\n");
+}
+
+} // namespace
+
+EntryCoordinator::EntryCoordinator(EntryCore &core, EntrySettings settings,
+                                   std::shared_ptr<Authenticator> authenticator,
+                                   std::shared_ptr<std::atomic<std::size_t>> leader) :
+    core_(core), settings_(std::move(settings)), authenticator_(std::move(authenticator)),
+    datagrams_(loop_, authenticator_), probeClient_(loop_, nullptr),
+    control_(loop_, authenticator_, parsed(settings_.controlMembers), std::move(leader)),
+    probeBudget_(configuration_.probesPerSecond, probeBurst)
+{
+    GossipHooks hooks;
+    hooks.send = [this](const Address &to, const std::string &payload) {
+        datagrams_.send(to, payload);
+    };
+    hooks.membershipChanged = [this] { publish(); };
+    hooks.targetRenewed = [this](const std::string &target) {
+        leases_[target].heardAt = Clock::now();
+    };
+    hooks.targetHealth = [this](const TargetHealth &health) {
+        const TargetRecord *record = membership_.find(health.target);
+        if (record != nullptr && record->incarnation == health.incarnation) {
+            setReachable(*record, health.reachable, false);
+        }
+    };
+    hooks.requestSuspected = [this](const RequestSuspicion &suspicion) {
+        suspectRequest(suspicion);
+    };
+    hooks.peerChanged = [](const std::string &peer, bool live) {
+        logEvent(live ? Event::peerUp : Event::peerDown, LogLevel::info, "peer={}", peer);
+    };
+    GossipOptions options;
+    options.name = settings_.name;
+    options.incarnation = static_cast<std::uint64_t>(wallTime().count());
+    options.address = *parseAddress(settings_.gossipAddress);
+    options.peers = parsed(settings_.gossipPeers);
+    options.seed = randomSeed();
+    gossip_ = std::make_unique<Gossip>(std::move(options), membership_, std::move(hooks));
+    server_ = std::make_shared<HttpServer>(
+        loop_, [this](const HttpRequest &request, Yield yield) { return handle(request, yield); });
+    core_.hooks.suspectRequest = [this](std::uint64_t fingerprint, const std::string &target) {
+        asio::post(loop_, [this, suspicion = RequestSuspicion { fingerprint, target }] {
+            gossip_->spreadSuspicion(suspicion);
+            gossip_->tick(Clock::now());
+        });
+        if (core_.quarantine.suspect(fingerprint, target, Clock::now())) {
+            logEvent(Event::requestQuarantined, LogLevel::warning, "fingerprint={:x} target={}",
+                     fingerprint, target);
+        }
+    };
+}
+
+absl::Status EntryCoordinator::open()
+{
+    const absl::Status bound
+        = datagrams_.open(*parseAddress(settings_.gossipAddress), [this](const std::string &text) {
+              gossip_->receive(text, Clock::now());
+          });
+    return bound.ok() ? server_->listen(*parseAddress(settings_.internalAddress)) : bound;
+}
+
+void EntryCoordinator::start()
+{
+    lastTick_ = Clock::now();
+    core_.lastTick = lastTick_.time_since_epoch().count();
+    spawnOn(loop_, [this](Yield yield) { tickForever(yield); });
+    spawnOn(loop_, [this](Yield yield) { followConfiguration(yield); });
+    thread_ = std::thread([this] { loop_.run(); });
+}
+
+void EntryCoordinator::stop()
+{
+    loop_.stop();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+void EntryCoordinator::suspectRequest(const RequestSuspicion &suspicion)
+{
+    if (core_.quarantine.suspect(suspicion.fingerprint, suspicion.target, Clock::now())) {
+        logEvent(Event::requestQuarantined, LogLevel::warning, "fingerprint={:x} target={}",
+                 suspicion.fingerprint, suspicion.target);
+    }
+}
+
+HttpResponse EntryCoordinator::handle(const HttpRequest &request, Yield yield)
+{
+    const std::string path(request.target());
+    if (path.rfind(wire::targetsPath, 0) == 0) {
+        return announce(request, yield);
+    }
+    if (path == wire::readyPath) {
+        const bool ready = core_.ready && !core_.stopping;
+        return textResponse(ready ? http::status::ok : http::status::service_unavailable,
+                            ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n");
+    }
+    if (path == wire::dumpPath) {
+        return textResponse(http::status::ok, writeJson(dump(), true) + "\n");
+    }
+    if (path == wire::metricsPath) {
+        return textResponse(http::status::ok, metrics(), "text/plain; version=0.0.4");
+    }
+    return errorResponse(http::status::not_found,
+                         makeError(ErrorKind::badMessage, path + " is not served here",
+                                   "see the table of paths in docs/OPERATORS.md"));
+}
+
+HttpResponse EntryCoordinator::announce(const HttpRequest &request, Yield yield)
+{
+    std::string name(request.target().substr(sizeof(wire::targetsPath) - 1));
+    const bool drains = request.method() == http::verb::post && absl::EndsWith(name, drainSuffix);
+    if (drains) {
+        name.resize(name.size() - sizeof(drainSuffix) + 1);
+    }
+    if (drains || request.method() == http::verb::delete_) {
+        const TargetRecord *present = membership_.find(name);
+        if (present == nullptr) {
+            return textResponse(http::status::not_found, "{\"error\":\"no such target\"}\n");
+        }
+        TargetRecord record = *present;
+        record.state = drains ? TargetState::draining : TargetState::gone;
+        return takeAnnouncement(record, yield);
+    }
+    if (request.method() != http::verb::put || name.empty()) {
+        return textResponse(http::status::method_not_allowed,
+                            "{\"error\":\"use PUT or DELETE with a target's name\"}\n");
+    }
+    const auto record = parseAnnouncement(name, request.body());
+    if (!record.ok()) {
+        return errorResponse(http::status::bad_request, record.status());
+    }
+    return takeAnnouncement(*record, yield);
+}
+
+HttpResponse EntryCoordinator::takeAnnouncement(const TargetRecord &record, Yield yield)
+{
+    const TimePoint now = Clock::now();
+    const TargetRecord *present = membership_.find(record.name);
+    const bool outdated = present != nullptr && supersedes(*present, record)
+        && (present->incarnation != record.incarnation || present->state != record.state);
+    if (outdated) {
+        return errorResponse(
+            http::status::conflict,
+            makeError(ErrorKind::badMessage,
+                      absl::StrCat(record.name, " is ", targetStateName(present->state),
+                                   " in incarnation ", present->incarnation),
+                      "announce a higher incarnation after a restart"));
+    }
+    leases_[record.name].heardAt = now;
+    bool spread = true;
+    if (membership_.merge(record, now)) {
+        const bool leaving = record.state >= TargetState::draining;
+        const Event event = record.state == TargetState::gone ? Event::targetGone
+            : leaving                                         ? Event::targetDraining
+                                                              : Event::targetAnnounced;
+        logEvent(event, LogLevel::info, "target={} service={} state={}", record.name,
+                 record.service, targetStateName(record.state));
+        publish();
+        spread = waitForSpread(record, yield);
+    } else {
+        setReachable(record, true, true);
+        gossip_->forwardRenewal(record.name, now);
+    }
+    Json::Value body;
+    body["leaseMs"] = record.leaseMs;
+    body["spread"] = spread;
+    return textResponse(http::status::ok, writeJson(body) + "\n");
+}
+
+// A drain is answered when another entry knows of it too, so that it survives this one. True when
+// one does, or when there is no other.
+bool EntryCoordinator::waitForSpread(const TargetRecord &record, Yield yield)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(loop_, spreadTime);
+    const auto known = std::make_shared<bool>(gossip_->livePeers() == 0);
+    gossip_->spread(record, Clock::now(), [timer, known] {
+        *known = true;
+        timer->cancel();
+    });
+    if (!*known && record.state >= TargetState::draining) {
+        ErrorCode ignored;
+        timer->async_wait(yield[ignored]);
+    }
+    return *known;
+}
+
+void EntryCoordinator::tickForever(Yield yield)
+{
+    for (int tick = 0;; ++tick) {
+        pauseFor(loop_, Gossip::tickInterval, yield);
+        const TimePoint now = Clock::now();
+        noticeFreeze(now);
+        gossip_->tick(now);
+        judgeTargets(now);
+        if (tick % ticksPerLeaseCheck == 0) {
+            judgeLeases(now);
+            membership_.forgetGone(now);
+        }
+        if (gossip_->refreshed()) {
+            core_.lastTick = Clock::now().time_since_epoch().count();
+        }
+        lastTick_ = now;
+    }
+}
+
+// A process that was stopped wakes with an old view. New requests are refused until a peer has
+// said what changed, or until it is clear that none will.
+void EntryCoordinator::noticeFreeze(TimePoint now)
+{
+    if (now - lastTick_ > EntryCore::staleAfter) {
+        logEvent(Event::processResumed, LogLevel::warning, "stopped for {} ms",
+                 static_cast<int>(toMilliseconds(now - lastTick_)));
+        gossip_->refresh(now);
+        spawnOn(loop_, [this](Yield inner) {
+            pauseFor(loop_, refreshTime, inner);
+            core_.lastTick = Clock::now().time_since_epoch().count();
+        });
+    }
+}
+
+void EntryCoordinator::judgeTargets(TimePoint now)
+{
+    const auto routing = core_.routing.read();
+    for (const auto &service : routing->services) {
+        for (const EjectionEvent &event :
+             ejection_.judge(*service, configuration_.ejectedShare, now)) {
+            logEvent(event.ejected ? Event::targetEjected : Event::targetReturned, LogLevel::info,
+                     "target={} because {}", event.target, event.why);
+        }
+    }
+}
+
+void EntryCoordinator::judgeLeases(TimePoint now)
+{
+    for (const TargetRecord &record : membership_.all()) {
+        if (record.state != TargetState::ready || !gossip_->isResponsibleFor(record.name)) {
+            continue;
+        }
+        Lease &lease = leases_[record.name];
+        const auto stats = stats_.find(record.name);
+        if (lease.heardAt == TimePoint()) {
+            lease.heardAt = now;
+        }
+        if (stats != stats_.end()) {
+            lease.heardAt = std::max(lease.heardAt, stats->second->lastSuccess());
+        }
+        const Milliseconds due { record.leaseMs * 2 / 3 };
+        if (lease.probing || now - lease.heardAt < due || now - lease.probedAt < probePause) {
+            continue;
+        }
+        if (!probeBudget_.trySpend(1, now)) {
+            ++probesHeldBack_;
+            continue;
+        }
+        lease.probing = true;
+        lease.probedAt = now;
+        ++probesSent_;
+        spawnOn(loop_, [this, record](Yield inner) { probe(record, inner); });
+    }
+}
+
+void EntryCoordinator::probe(const TargetRecord &record, Yield yield)
+{
+    HttpRequest request(http::verb::get, healthPath, 11);
+    const auto response
+        = probeClient_.send({ record.ip, record.port }, request, probeTimeout, yield);
+    const TimePoint now = Clock::now();
+    Lease &lease = leases_[record.name];
+    lease.probing = false;
+    if (response.ok() && response->result() == http::status::ok) {
+        lease.heardAt = now;
+        setReachable(record, true, true);
+    } else if (now - lease.heardAt > Milliseconds(record.leaseMs)) {
+        setReachable(record, false, true);
+    }
+}
+
+void EntryCoordinator::setReachable(const TargetRecord &record, bool reachable, bool spread)
+{
+    const auto found = stats_.find(record.name);
+    if (found == stats_.end() || found->second->isUnreachable() == !reachable) {
+        return;
+    }
+    found->second->setUnreachable(!reachable);
+    logEvent(reachable ? Event::targetReturned : Event::targetSilent, LogLevel::warning,
+             "target={} lease", record.name);
+    if (spread) {
+        const auto sequence = static_cast<std::uint64_t>(wallTime().count());
+        gossip_->spreadHealth({ record.name, record.incarnation, sequence, reachable });
+    }
+}
+
+void EntryCoordinator::followConfiguration(Yield yield)
+{
+    while (true) {
+        ConfigurationPoll poll { settings_.name, version_.epoch, version_.number,
+                                 pollWait.count() };
+        const auto update = control_.configuration(poll, pollTimeout, yield);
+        if (update.ok() != controlReachable_) {
+            controlReachable_ = update.ok();
+            if (!controlReachable_) {
+                logEvent(Event::controlUnreachable, LogLevel::warning, "{}",
+                         std::string(update.status().message()));
+            }
+        }
+        if (update.ok() && update->has_value()) {
+            takeConfiguration(**update);
+        } else if (!update.ok()) {
+            pauseFor(loop_, pollPause, yield);
+        }
+    }
+}
+
+void EntryCoordinator::takeConfiguration(const ConfigurationUpdate &update)
+{
+    const ConfigurationVersion version { update.epoch, update.number };
+    if (!(version_ < version)) {
+        return;
+    }
+    std::vector<ConfigurationFile> files;
+    for (std::size_t i = 0; i < update.names.size(); ++i) {
+        files.push_back({ update.names[i], update.contents[i] });
+    }
+    auto configuration = parseConfiguration(std::move(files));
+    if (!configuration.ok()) {
+        logEvent(Event::configurationRejected, LogLevel::error, "version={}.{} {}", version.epoch,
+                 version.number, std::string(configuration.status().message()));
+        return;
+    }
+    configuration_ = std::move(*configuration);
+    version_ = version;
+    probeBudget_.setRate(configuration_.probesPerSecond, probeBurst);
+    logEvent(Event::configurationTaken, LogLevel::info, "version={}.{}", version.epoch,
+             version.number);
+    publish();
+    core_.ready = true;
+}
+
+std::shared_ptr<TargetStats> EntryCoordinator::statsOf(const TargetRecord &record, TimePoint now)
+{
+    auto &stats = stats_[record.name];
+    if (!stats || stats->incarnation() != record.incarnation) {
+        stats = std::make_shared<TargetStats>(record.incarnation);
+    }
+    if (record.state == TargetState::ready && stats->readySince() == TimePoint()) {
+        stats->markReady(now, Milliseconds(record.coldStartMs));
+    }
+    return stats;
+}
+
+std::shared_ptr<const ActiveService> EntryCoordinator::activeService(const Service &service,
+                                                                     TimePoint now)
+{
+    auto &runtime = runtimes_[service.name];
+    if (!runtime) {
+        runtime = std::make_shared<ServiceRuntime>();
+    }
+    runtime->retryBudget.setShare(service.retry.budget);
+    auto active = std::make_shared<ActiveService>();
+    active->configuration = service;
+    active->chooser = makeChooser(service.chooser);
+    active->runtime = runtime;
+    for (const TargetRecord &record : membership_.all()) {
+        if (record.service == service.name && record.state <= TargetState::ready) {
+            active->targets.push_back(std::make_shared<const Target>(
+                Target { record, { record.ip, record.port }, statsOf(record, now) }));
+        }
+    }
+    return active;
+}
+
+void EntryCoordinator::publish()
+{
+    const TimePoint now = Clock::now();
+    auto table = std::make_shared<RoutingTable>();
+    table->version = version_;
+    for (const Service &service : configuration_.services) {
+        table->services.push_back(activeService(service, now));
+    }
+    core_.routing.publish(table);
+    for (const auto &service : table->services) {
+        service->runtime->wakeOne();
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/EntryCoordinator.h
@@ -0,0 +1,86 @@
+#pragma once
+/// \file
+/// Defines the coordination thread of an entry: announcements, gossip, configuration, probes.
+/// It alone changes the membership and publishes routing tables.
+
+#include "coordination/ControlClient.h"
+#include "coordination/EntryCore.h"
+#include "coordination/Gossip.h"
+#include "coordination/OutlierEjection.h"
+#include "kumquat/Settings.h"
+#include "transport/DatagramSocket.h"
+
+#include <json/json.h>
+#include <thread>
+
+namespace kumquat {
+
+class EntryCoordinator
+{
+public:
+    EntryCoordinator(EntryCore &core, EntrySettings settings,
+                     std::shared_ptr<Authenticator> authenticator,
+                     std::shared_ptr<std::atomic<std::size_t>> leader);
+
+    absl::Status open();
+    void start();
+    void stop();
+
+    asio::io_context &loop() { return loop_; }
+
+private:
+    /// What the responsible entry keeps of a target's lease.
+    struct Lease
+    {
+        TimePoint heardAt;
+        TimePoint probedAt;
+        bool probing = false;
+    };
+
+    HttpResponse handle(const HttpRequest &request, Yield yield);
+    HttpResponse announce(const HttpRequest &request, Yield yield);
+    HttpResponse takeAnnouncement(const TargetRecord &record, Yield yield);
+    bool waitForSpread(const TargetRecord &record, Yield yield);
+
+    void tickForever(Yield yield);
+    void noticeFreeze(TimePoint now);
+    void judgeTargets(TimePoint now);
+    void judgeLeases(TimePoint now);
+    void probe(const TargetRecord &record, Yield yield);
+    void setReachable(const TargetRecord &record, bool reachable, bool spread);
+
+    void followConfiguration(Yield yield);
+    void takeConfiguration(const ConfigurationUpdate &update);
+    void publish();
+    std::shared_ptr<const ActiveService> activeService(const Service &service, TimePoint now);
+    std::shared_ptr<TargetStats> statsOf(const TargetRecord &record, TimePoint now);
+    void suspectRequest(const RequestSuspicion &suspicion);
+
+    Json::Value dump() const;
+    std::string metrics() const;
+
+    EntryCore &core_;
+    EntrySettings settings_;
+    asio::io_context loop_ { 1 };
+    std::shared_ptr<Authenticator> authenticator_;
+    std::shared_ptr<HttpServer> server_;
+    DatagramSocket datagrams_;
+    HttpClient probeClient_;
+    ControlClient control_;
+    Membership membership_;
+    std::unique_ptr<Gossip> gossip_;
+    OutlierEjection ejection_;
+    Configuration configuration_;
+    ConfigurationVersion version_;
+    bool controlReachable_ = false;
+    std::map<std::string, std::shared_ptr<ServiceRuntime>> runtimes_;
+    std::map<std::string, std::shared_ptr<TargetStats>> stats_;
+    std::map<std::string, Lease> leases_;
+    TokenBucket probeBudget_;
+    std::uint64_t probesSent_ = 0;
+    std::uint64_t probesHeldBack_ = 0;
+    TimePoint lastTick_;
+    std::thread thread_;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/EntryCore.h
@@ -0,0 +1,34 @@
+#pragma once
+/// \file
+/// Defines what the worker threads and the coordination thread of an entry share.
+/// Workers only read the routing table and count; the coordination thread publishes.
+
+#include "common/RcuPointer.h"
+#include "coordination/Attempt.h"
+#include "coordination/Quarantine.h"
+
+namespace kumquat {
+
+struct EntryCore
+{
+    /// A coordination thread silent for longer means that the process was stopped for a while;
+    /// what it knows of targets and configuration is then too old to act on.
+    static constexpr Milliseconds staleAfter { 2'000 };
+
+    RcuPointer<RoutingTable> routing;
+    Quarantine quarantine;
+    EntryHooks hooks;
+    std::atomic<Clock::rep> lastTick { 0 };
+    std::atomic<bool> stopping { false };
+    std::atomic<bool> ready { false };
+    std::atomic<int> connections { 0 };
+    std::atomic<std::uint64_t> unrouted { 0 };
+
+    bool isFresh(TimePoint now) const
+    {
+        const TimePoint tick { Clock::duration(lastTick.load(std::memory_order_relaxed)) };
+        return now - tick < staleAfter;
+    }
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/EntryProcess.cpp
@@ -0,0 +1,151 @@
+#include "kumquat/EntryProcess.h"
+
+#include "coordination/EntryCoordinator.h"
+#include "coordination/EntryWorker.h"
+#include "kumquat/Error.h"
+#include "kumquat/Event.h"
+
+#include <condition_variable>
+#include <list>
+
+namespace kumquat {
+
+namespace {
+
+constexpr Milliseconds drainPoll { 50 };
+constexpr Milliseconds longestDrain { 600'000 };
+
+class Entry : public EntryProcess
+{
+public:
+    Entry(EntrySettings settings, const std::string &key) :
+        settings_(std::move(settings)), authenticator_(std::make_shared<Authenticator>(key)),
+        leader_(std::make_shared<std::atomic<std::size_t>>(0)),
+        coordinator_(core_, settings_, authenticator_, leader_)
+    {
+        for (int i = 0; i < settings_.threads; ++i) {
+            addWorker();
+        }
+        core_.hooks.isQuarantined = [this](std::uint64_t fingerprint) {
+            return core_.quarantine.isQuarantined(fingerprint, Clock::now());
+        };
+        core_.hooks.clearRequest
+            = [this](std::uint64_t fingerprint) { core_.quarantine.clear(fingerprint); };
+        core_.hooks.once = [this](const OnceRequest &request, TimePoint deadline, Yield yield) {
+            return clientOfThisThread().once(request, deadline, yield);
+        };
+    }
+
+    absl::Status open()
+    {
+        absl::Status status = coordinator_.open();
+        for (auto &worker : workers_) {
+            status.Update(worker.listen(*parseAddress(settings_.callerAddress)));
+        }
+        return status;
+    }
+
+    void run() override
+    {
+        coordinator_.start();
+        for (auto &worker : workers_) {
+            worker.start();
+        }
+        logEvent(Event::processStarted, LogLevel::info, "entry={} callers={}", settings_.name,
+                 settings_.callerAddress);
+        {
+            std::unique_lock<std::mutex> lock(mutex_);
+            stopAsked_.wait(lock, [this] { return core_.stopping.load(); });
+        }
+        drain();
+        for (auto &worker : workers_) {
+            worker.stop();
+        }
+        coordinator_.stop();
+        logEvent(Event::processStopped, LogLevel::info, "entry={}", settings_.name);
+    }
+
+    void stop() override
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        core_.stopping = true;
+        stopAsked_.notify_all();
+    }
+
+private:
+    void addWorker()
+    {
+        workers_.emplace_back(core_, settings_.maxConnections, randomSeed());
+        std::vector<Address> members;
+        for (const std::string &text : settings_.controlMembers) {
+            members.push_back(*parseAddress(text));
+        }
+        clients_.emplace(&workers_.back().loop(),
+                         std::make_unique<ControlClient>(workers_.back().loop(), authenticator_,
+                                                         members, leader_));
+    }
+
+    // Requests run on their worker's event loop, and each loop has its own client.
+    ControlClient &clientOfThisThread()
+    {
+        for (auto &client : clients_) {
+            if (client.first->get_executor().running_in_this_thread()) {
+                return *client.second;
+            }
+        }
+        KUMQUAT_ASSERT(false, "a call from outside the workers' event loops");
+        return *clients_.begin()->second;
+    }
+
+    // The platform's balancer first sees "not ready"; then the listeners close, and what is in
+    // flight runs to its end.
+    void drain()
+    {
+        logEvent(Event::processStopping, LogLevel::info, "entry={} connections={}",
+                 settings_.name, core_.connections.load());
+        std::this_thread::sleep_for(Milliseconds(settings_.stopGraceMs));
+        for (auto &worker : workers_) {
+            worker.drain();
+        }
+        const TimePoint end = Clock::now() + longestDrain;
+        while (core_.connections > 0 && Clock::now() < end) {
+            std::this_thread::sleep_for(drainPoll);
+        }
+    }
+
+    EntrySettings settings_;
+    EntryCore core_;
+    std::shared_ptr<Authenticator> authenticator_;
+    std::shared_ptr<std::atomic<std::size_t>> leader_;
+    EntryCoordinator coordinator_;
+    std::list<EntryWorker> workers_;
+    std::map<asio::io_context *, std::unique_ptr<ControlClient>> clients_;
+    std::mutex mutex_;
+    std::condition_variable stopAsked_;
+};
+
+} // namespace
+
+EntryProcessBuilder &EntryProcessBuilder::settings(EntrySettings settings)
+{
+    settings_ = std::move(settings);
+    return *this;
+}
+
+EntryProcessBuilder &EntryProcessBuilder::clusterKey(std::string key)
+{
+    key_ = std::move(key);
+    return *this;
+}
+
+absl::StatusOr<std::unique_ptr<EntryProcess>> EntryProcessBuilder::build()
+{
+    auto entry = std::make_unique<Entry>(settings_, key_);
+    const absl::Status opened = entry->open();
+    if (!opened.ok()) {
+        return opened;
+    }
+    return std::unique_ptr<EntryProcess>(std::move(entry));
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/EntryWorker.cpp
@@ -0,0 +1,199 @@
+#include "coordination/EntryWorker.h"
+
+#include "coordination/Call.h"
+#include "protocol/Headers.h"
+#include "protocol/Wire.h"
+#include "transport/Spawn.h"
+
+#include <xxhash.h>
+
+namespace kumquat {
+
+namespace {
+
+constexpr Milliseconds acceptPause { 20 };
+
+std::uint64_t fingerprintOf(const HttpRequest &request)
+{
+    const std::string head
+        = std::string(request.method_string()) + ' ' + std::string(request.target());
+    const std::uint64_t seed = XXH64(head.data(), head.size(), 0);
+    return XXH64(request.body().data(), request.body().size(), seed);
+}
+
+std::string pathOf(const http::request_header<> &header)
+{
+    const std::string target(header.target());
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+EntryWorker::EntryWorker(EntryCore &core, int maxConnections, std::uint64_t seed) :
+    core_(core), maxConnections_(maxConnections), work_(asio::make_work_guard(loop_)),
+    worker_(loop_, core.hooks, seed), acceptor_(loop_)
+{
+}
+
+absl::Status EntryWorker::listen(const Address &address)
+{
+    const absl::Status opened = openAcceptor(acceptor_, address, true);
+    if (opened.ok()) {
+        spawnOn(loop_, [this](Yield yield) { accept(yield); });
+    }
+    return opened;
+}
+
+void EntryWorker::start()
+{
+    thread_ = std::thread([this] { loop_.run(); });
+}
+
+void EntryWorker::drain()
+{
+    asio::post(loop_, [this] {
+        ErrorCode ignored;
+        acceptor_.close(ignored);
+        for (const auto &caller : callers_) {
+            caller->closeIfWaiting();
+        }
+    });
+}
+
+void EntryWorker::stop()
+{
+    work_.reset();
+    loop_.stop();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+void EntryWorker::accept(Yield yield)
+{
+    while (acceptor_.is_open()) {
+        asio::ip::tcp::socket socket(loop_);
+        ErrorCode error;
+        acceptor_.async_accept(socket, yield[error]);
+        if (error) {
+            pauseFor(loop_, acceptPause, yield);
+            continue;
+        }
+        if (core_.connections.load() >= maxConnections_) {
+            continue;
+        }
+        ++core_.connections;
+        spawnOn(loop_, [this, socket = std::make_shared<asio::ip::tcp::socket>(
+                                  std::move(socket))](Yield inner) {
+            serve(std::move(*socket), inner);
+            --core_.connections;
+        });
+    }
+}
+
+void EntryWorker::serve(asio::ip::tcp::socket socket, Yield yield)
+{
+    ErrorCode ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const auto caller = std::make_shared<CallerConnection>(loop_, std::move(socket));
+    callers_.insert(caller);
+    caller->serve([this](CallerConnection &connection, Yield inner) { handle(connection, inner); },
+                  [this] { return core_.stopping.load() && !acceptor_.is_open(); }, yield);
+    callers_.erase(caller);
+}
+
+void EntryWorker::handle(CallerConnection &caller, Yield yield)
+{
+    const TimePoint start = Clock::now();
+    const std::string path = pathOf(caller.header());
+    if (path == wire::readyPath) {
+        const bool ready = core_.ready && !core_.stopping && core_.isFresh(start);
+        (void)caller.writeWhole(ready ? textResponse(http::status::ok, "{\"ready\":true}\n")
+                                      : refusal(RefusalReason::notReady, RunOutcome::notRun),
+                                yield);
+        return;
+    }
+    if (!core_.ready || !core_.isFresh(start)) {
+        (void)caller.writeWhole(refusal(RefusalReason::notReady, RunOutcome::notRun), yield);
+        return;
+    }
+    const RouteMatch match
+        = core_.routing.read()->match(std::string(caller.header().method_string()), path);
+    if (!match.service) {
+        ++core_.unrouted;
+        (void)caller.writeWhole(refusal(RefusalReason::noRoute, RunOutcome::notRun), yield);
+        return;
+    }
+    Milliseconds allowed = match.service->configuration.deadline;
+    const auto asked = readDeadline(caller.header());
+    allowed = asked ? std::min(allowed, *asked) : allowed;
+    admit(caller, match, start + allowed, yield);
+}
+
+void EntryWorker::admit(CallerConnection &caller, const RouteMatch &match, TimePoint deadline,
+                        Yield yield)
+{
+    const TimePoint start = Clock::now();
+    ServiceRuntime &runtime = *match.service->runtime;
+    Call call { caller, worker_, match.service, deadline, {}, 0 };
+    ++runtime.counters.requests;
+    runtime.retryBudget.earn();
+    if (!runtime.tryEnter(match.service->configuration.limits.concurrency)) {
+        refuse(call, RefusalReason::overloaded, RunOutcome::notRun, yield);
+        return;
+    }
+    const std::uint64_t answeredBefore = runtime.counters.answered.load();
+    if (prepare(call, match.kind, yield)) {
+        switch (match.kind) {
+        case RequestKind::idempotent:
+            serveIdempotent(call, yield);
+            break;
+        case RequestKind::once:
+            serveOnce(call, std::string(caller.header()[wire::idempotencyKey]), yield);
+            break;
+        case RequestKind::upload:
+            serveUpload(call, yield);
+            break;
+        }
+    }
+    if (runtime.counters.answered.load() != answeredBefore) {
+        runtime.latency.record(Clock::now() - start);
+    }
+    runtime.leave();
+}
+
+// Reads what must be known before a target is chosen; false when the request was refused.
+bool EntryWorker::prepare(Call &call, RequestKind kind, Yield yield)
+{
+    call.request = HttpRequest(forwardedHeader(call.caller.header(), call.deadline));
+    if (kind == RequestKind::upload) {
+        return true;
+    }
+    if (kind == RequestKind::once
+        && !isValidIdempotencyKey(std::string(call.request[wire::idempotencyKey]))) {
+        refuse(call, RefusalReason::missingKey, RunOutcome::notRun, yield);
+        return false;
+    }
+    const auto limit
+        = static_cast<std::size_t>(call.service->configuration.maxRequestBytes);
+    const ErrorCode error
+        = call.caller.readBody(call.request.body(), limit, call.deadline, yield);
+    if (error == http::error::body_limit) {
+        refuse(call, RefusalReason::requestTooLarge, RunOutcome::notRun, yield);
+        return false;
+    }
+    if (error) {
+        ++call.service->runtime->counters.departed;
+        call.caller.abort();
+        return false;
+    }
+    call.request.prepare_payload();
+    call.fingerprint = fingerprintOf(call.request);
+    if (core_.quarantine.isQuarantined(call.fingerprint, Clock::now())) {
+        refuse(call, RefusalReason::quarantined, RunOutcome::notRun, yield);
+        return false;
+    }
+    return true;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/EntryWorker.h
@@ -0,0 +1,49 @@
+#pragma once
+/// \file
+/// Defines one worker thread of an entry: it accepts callers and admits their requests.
+/// Each worker has its own event loop, connections and listening socket.
+
+#include "coordination/Call.h"
+#include "coordination/ControlClient.h"
+#include "coordination/EntryCore.h"
+#include "protocol/CallerConnection.h"
+
+#include <set>
+#include <thread>
+
+namespace kumquat {
+
+class EntryWorker
+{
+public:
+    EntryWorker(EntryCore &core, int maxConnections, std::uint64_t seed);
+
+    absl::Status listen(const Address &address);
+    void start();
+
+    /// Closes the listener and idle connections; requests in flight go on.
+    void drain();
+    /// Ends the event loop; call after the last request has ended.
+    void stop();
+
+    Worker &worker() { return worker_; }
+    asio::io_context &loop() { return loop_; }
+
+private:
+    void accept(Yield yield);
+    void serve(asio::ip::tcp::socket socket, Yield yield);
+    void handle(CallerConnection &caller, Yield yield);
+    void admit(CallerConnection &caller, const RouteMatch &match, TimePoint deadline, Yield yield);
+    bool prepare(Call &call, RequestKind kind, Yield yield);
+
+    EntryCore &core_;
+    const int maxConnections_;
+    asio::io_context loop_ { 1 };
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    Worker worker_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::set<std::shared_ptr<CallerConnection>> callers_;
+    std::thread thread_;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/Gossip.h
@@ -0,0 +1,136 @@
+#pragma once
+/// \file
+/// Spreads targets' records, signs of life and suspicions between entries.
+/// Changes travel epidemically at once; digests repair what datagrams lost.
+
+#include "common/Random.h"
+#include "coordination/Membership.h"
+#include "coordination/TokenBucket.h"
+#include "protocol/GossipMessage.h"
+#include "transport/Address.h"
+
+#include <deque>
+#include <functional>
+#include <set>
+
+namespace kumquat {
+
+/// What gossip needs of its surroundings; tests put small fakes here.
+struct GossipHooks
+{
+    std::function<void(const Address &, const std::string &payload)> send;
+    std::function<void()> membershipChanged;
+    std::function<void(const std::string &target)> targetRenewed;
+    std::function<void(const TargetHealth &)> targetHealth;
+    std::function<void(const RequestSuspicion &)> requestSuspected;
+    std::function<void(const std::string &peer, bool live)> peerChanged;
+};
+
+struct GossipOptions
+{
+    std::string name;
+    std::uint64_t incarnation = 0;
+    Address address;
+    std::vector<Address> peers;
+    double bytesPerSecond = 8'000;
+    double burstBytes = 24'000;
+    std::uint64_t seed = 0;
+};
+
+class Gossip
+{
+public:
+    static constexpr Milliseconds tickInterval { 200 };
+    static constexpr Milliseconds peerTimeout { 4'000 };
+
+    Gossip(GossipOptions options, Membership &membership, GossipHooks hooks);
+
+    /// To be called every tickInterval.
+    void tick(TimePoint now);
+    void receive(const std::string &payload, TimePoint now);
+
+    /// Spreads a record that was merged into the membership from an announcement. The first
+    /// copies go to all live peers at once; \p acknowledged is called when a peer has one.
+    void spread(const TargetRecord &record, TimePoint now, std::function<void()> acknowledged);
+    void spreadHealth(const TargetHealth &health);
+    void spreadSuspicion(const RequestSuspicion &suspicion);
+
+    /// Tells the entry responsible for \p target that it renewed its lease.
+    void forwardRenewal(const std::string &target, TimePoint now);
+
+    /// Asks every peer for its digest, as after a freeze.
+    void refresh(TimePoint now);
+    bool refreshed() const { return refreshed_; }
+
+    /// True when this entry judges whether \p target can be reached.
+    bool isResponsibleFor(const std::string &target) const;
+
+    std::size_t livePeers() const;
+    std::uint64_t droppedForBudget() const { return droppedForBudget_; }
+    std::uint64_t payloadBytes() const { return payloadBytes_; }
+    std::uint64_t messages() const { return messages_; }
+
+private:
+    struct Peer
+    {
+        Address address;
+        std::string name; ///< known once heard from
+        PeerBeat last;
+        TimePoint heardAt;
+        bool live = false;
+    };
+
+    template <typename Item>
+    struct Queued
+    {
+        Item item;
+        int sendsLeft;
+    };
+
+    struct Awaited
+    {
+        std::uint64_t sequence;
+        TimePoint since;
+        std::function<void()> acknowledged;
+    };
+
+    GossipMessage newMessage() const;
+    void fill(GossipMessage &message);
+    void addBeats(GossipMessage &message);
+    bool send(const Address &address, const GossipMessage &message, TimePoint now);
+    std::vector<std::size_t> pickPeers(std::size_t count);
+    void heardBeat(const PeerBeat &beat, TimePoint now);
+    Peer *senderOf(const GossipMessage &message);
+    void takeSuspicion(const RequestSuspicion &suspicion);
+    void checkPeers(TimePoint now);
+    void takeHealth(const TargetHealth &health);
+    void answerDigest(const GossipMessage &message, const Address &to, TimePoint now);
+    std::size_t sendDifferences(const Membership::Digest &own, const GossipMessage &message,
+                                const Address &to, TimePoint now);
+    void takeRecords(const GossipMessage &message, TimePoint now);
+    void acknowledge(std::uint64_t sequence);
+    int sendsPerItem() const;
+    const Peer *responsiblePeer(const std::string &target) const;
+
+    GossipOptions options_;
+    Membership &membership_;
+    GossipHooks hooks_;
+    std::vector<Peer> peers_;
+    Random random_;
+    TokenBucket budget_;
+    std::deque<Queued<TargetRecord>> records_;
+    std::deque<Queued<TargetHealth>> health_;
+    std::deque<Queued<RequestSuspicion>> suspicions_;
+    std::vector<Awaited> awaited_;
+    std::uint64_t beat_ = 0;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t ticks_ = 0;
+    std::uint64_t droppedForBudget_ = 0;
+    std::uint64_t payloadBytes_ = 0;
+    std::uint64_t messages_ = 0;
+    std::set<std::pair<std::uint64_t, std::string>> heardSuspicions_;
+    std::map<std::string, std::uint64_t> heardHealth_;
+    bool refreshed_ = true;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/GroupNode.cpp
@@ -0,0 +1,318 @@
+#include "coordination/GroupNode.h"
+
+#include "kumquat/Event.h"
+#include "protocol/Codec.h"
+
+namespace kumquat {
+
+namespace {
+
+constexpr Milliseconds joinInterval { 300 };
+constexpr Milliseconds expireInterval { 60'000 };
+
+MemberId drawIdentity(Random &random)
+{
+    MemberId identity = 0;
+    while (identity == 0) {
+        identity = random();
+    }
+    return identity;
+}
+
+void mergeOutput(RaftOutput &pending, RaftOutput output)
+{
+    if (output.hardState) {
+        pending.hardState = output.hardState;
+    }
+    if (output.installed) {
+        pending.installed = std::move(output.installed);
+        pending.entries.clear();
+    }
+    for (LogEntry &entry : output.entries) {
+        pending.entries.push_back(std::move(entry));
+    }
+    for (RaftMessage &message : output.afterStore) {
+        pending.afterStore.push_back(std::move(message));
+    }
+}
+
+} // namespace
+
+GroupNode::GroupNode(GroupNodeOptions options, Disk disk, GroupNodeHooks hooks) :
+    options_(std::move(options)), store_(std::move(disk)), hooks_(std::move(hooks))
+{
+}
+
+absl::Status GroupNode::start()
+{
+    auto loaded = store_.load();
+    if (!loaded.ok()) {
+        return loaded.status();
+    }
+    Random random(options_.seed);
+    if (loaded->damaged) {
+        logEvent(Event::logDamaged, LogLevel::error, "member={} begins anew", options_.name);
+    }
+    if (loaded->identity == 0) {
+        *loaded = StoredState();
+        loaded->identity = drawIdentity(random);
+        const absl::Status created = store_.create(loaded->identity);
+        if (!created.ok()) {
+            return created;
+        }
+    }
+    if (!loaded->snapshot.data.empty()) {
+        const absl::Status restored = state_.restore(loaded->snapshot.data);
+        if (!restored.ok()) {
+            return restored;
+        }
+    }
+    RaftLog log;
+    log.install(loaded->snapshot);
+    for (LogEntry &entry : loaded->entries) {
+        log.put(std::move(entry));
+    }
+    GroupMember self { loaded->identity, options_.name, options_.address, false };
+    for (const GroupMember &member : log.latestMembers()) {
+        self.voter = self.voter || (member.id == self.id && member.voter);
+    }
+    RaftOptions raftOptions = options_.raft;
+    raftOptions.seed = random();
+    raft_.emplace(raftOptions, self, loaded->hardState, std::move(log), hooks_.now());
+    return absl::OkStatus();
+}
+
+absl::Status GroupNode::form()
+{
+    const auto epoch = static_cast<std::uint64_t>(hooks_.wallNow().count());
+    const absl::Status formed = raft_->form(epoch, hooks_.now());
+    if (formed.ok()) {
+        logEvent(Event::groupFormed, LogLevel::info, "epoch={}", epoch);
+    }
+    pump();
+    return formed;
+}
+
+void GroupNode::tick()
+{
+    raft_->tick(hooks_.now());
+    askToJoin();
+    expireRecords();
+    pump();
+}
+
+void GroupNode::receive(const RaftMessage &message)
+{
+    if (!message.fromAddress.empty()) {
+        heardFrom_[message.from] = message.fromAddress;
+    }
+    raft_->receive(message, hooks_.now());
+    pump();
+}
+
+void GroupNode::propose(ControlCommand command, Done done)
+{
+    command.wallMs = hooks_.wallNow().count();
+    command.capacity = options_.onceCapacity;
+    const auto index = raft_->propose(pack(command), hooks_.now());
+    if (!index.ok()) {
+        done(index.status());
+        return;
+    }
+    waiting_[*index] = { raft_->term(), std::move(done) };
+    pump();
+}
+
+void GroupNode::confirmRead(std::function<void(bool)> done)
+{
+    raft_->confirmLeadership(
+        [this, done = std::move(done)](bool leads) {
+            // Everything committed up to now has been applied, since pump() applies at once.
+            done(leads && raft_->applied() == raft_->committed());
+        },
+        hooks_.now());
+    pump();
+}
+
+void GroupNode::handOver()
+{
+    raft_->handOver(hooks_.now());
+    pump();
+}
+
+// A member that is no voter keeps asking to be taken in, under its own identity.
+void GroupNode::askToJoin()
+{
+    const TimePoint now = hooks_.now();
+    if (raft_->self().voter || now < joinAt_) {
+        return;
+    }
+    joinAt_ = now + joinInterval;
+    RaftMessage message;
+    message.type = RaftMessageType::join;
+    message.from = raft_->self().id;
+    message.joining = raft_->self();
+    for (const std::string &address : options_.peerAddresses) {
+        hooks_.send(address, message);
+    }
+}
+
+void GroupNode::expireRecords()
+{
+    const TimePoint now = hooks_.now();
+    if (!raft_->leads() || now < expireAt_ || state_.once().size() == 0) {
+        return;
+    }
+    expireAt_ = now + expireInterval;
+    ControlCommand command;
+    command.type = CommandType::expire;
+    command.wallMs = (hooks_.wallNow() - options_.onceRetention).count();
+    (void)raft_->propose(pack(command), now);
+}
+
+// A member that has just joined answers a leader which its own log does not name yet.
+std::string GroupNode::addressOf(MemberId id) const
+{
+    for (const GroupMember &member : raft_->members()) {
+        if (member.id == id) {
+            return member.address;
+        }
+    }
+    const auto heard = heardFrom_.find(id);
+    return heard == heardFrom_.end() ? "" : heard->second;
+}
+
+void GroupNode::sendAll(std::vector<RaftMessage> messages)
+{
+    for (RaftMessage &message : messages) {
+        const std::string address = addressOf(message.to);
+        message.fromAddress = options_.address;
+        if (!address.empty()) {
+            hooks_.send(address, message);
+        }
+    }
+}
+
+void GroupNode::noteLeader()
+{
+    if (raft_->leads() != led_) {
+        led_ = raft_->leads();
+        logEvent(led_ ? Event::leaderElected : Event::leaderLost, LogLevel::info,
+                 "member={} term={}", options_.name, raft_->term());
+    }
+}
+
+void GroupNode::gather()
+{
+    RaftOutput output = raft_->output();
+    std::vector<RaftMessage> atOnce = std::move(output.atOnce);
+    mergeOutput(pending_, std::move(output));
+    sendAll(std::move(atOnce));
+}
+
+// One write at a time: what gathers meanwhile goes to the disk together (group commit).
+void GroupNode::pump()
+{
+    if (pumping_) {
+        return;
+    }
+    pumping_ = true;
+    gather();
+    applyCommitted();
+    gather();
+    noteLeader();
+    if (!storing_) {
+        flush();
+    }
+    pumping_ = false;
+}
+
+void GroupNode::flush()
+{
+    RaftOutput output = std::move(pending_);
+    pending_ = RaftOutput();
+    if (!output.mustStore() && !snapshot_) {
+        sendAll(output.afterStore);
+        return;
+    }
+    storing_ = true;
+    const auto work = std::make_shared<RaftOutput>(std::move(output));
+    const HardState hardState = raft_->hardState();
+    std::optional<LogSnapshot> replaced = std::move(snapshot_);
+    snapshot_.reset();
+    if (work->installed) {
+        replaced = work->installed;
+    }
+    std::vector<LogEntry> whole;
+    if (replaced) {
+        replaced = raft_->log().snapshot();
+        whole = raft_->log().slice(raft_->log().firstIndex(), SIZE_MAX);
+    }
+    hooks_.runStore(
+        [this, work, hardState, replaced, whole] {
+            if (replaced) {
+                return store_.replace(*replaced, hardState, whole);
+            }
+            return store_.append(work->hardState ? &hardState : nullptr, work->entries);
+        },
+        [this, work](const absl::Status &status) { stored(*work, status); });
+}
+
+void GroupNode::stored(const RaftOutput &output, const absl::Status &status)
+{
+    if (!status.ok()) {
+        hooks_.storeFailed(status);
+        return;
+    }
+    storing_ = false;
+    if (!output.entries.empty()) {
+        const LogEntry &last = output.entries.back();
+        raft_->stored(last.index, last.term, hooks_.now());
+    }
+    sendAll(output.afterStore);
+    pump();
+}
+
+void GroupNode::applyCommitted()
+{
+    if (raft_->takeInstalled()) {
+        const absl::Status restored = state_.restore(raft_->log().snapshot().data);
+        KUMQUAT_ASSERT(restored.ok(), std::string(restored.message()));
+        logEvent(Event::snapshotInstalled, LogLevel::info, "member={} index={}", options_.name,
+                 raft_->log().snapshot().index);
+        hooks_.applied();
+    }
+    const std::vector<LogEntry> entries = raft_->takeCommitted();
+    for (const LogEntry &entry : entries) {
+        absl::StatusOr<ControlResult> result = ControlResult();
+        if (entry.type == EntryType::command) {
+            result = state_.apply(entry.payload);
+        }
+        const auto waiting = waiting_.find(entry.index);
+        if (waiting == waiting_.end()) {
+            continue;
+        }
+        const Waiting waiter = std::move(waiting->second);
+        waiting_.erase(waiting);
+        if (waiter.term != entry.term) {
+            result = makeError(ErrorKind::unavailable, "another leader's entry took its place",
+                               "send it again with the same ID");
+        }
+        waiter.done(std::move(result));
+    }
+    if (!entries.empty()) {
+        hooks_.applied();
+    }
+    if (raft_->applied() - raft_->log().snapshot().index >= options_.snapshotEvery) {
+        takeSnapshot();
+    }
+}
+
+void GroupNode::takeSnapshot()
+{
+    snapshot_ = raft_->compact(raft_->applied(), state_.save());
+    logEvent(Event::snapshotTaken, LogLevel::info, "member={} index={}", options_.name,
+             snapshot_->index);
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/OnceCall.cpp
@@ -0,0 +1,259 @@
+#include "coordination/Call.h"
+#include "protocol/Wire.h"
+#include "transport/Spawn.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+constexpr Milliseconds claimTime { 1'500 };
+constexpr Milliseconds releaseTime { 1'000 };
+constexpr Milliseconds completeTime { 5'000 };
+constexpr Milliseconds pendingPoll { 100 };
+constexpr Milliseconds maxRunTime { 30'000 };
+constexpr Milliseconds maxIdleConnection { 300 };
+constexpr std::size_t maxStoredAnswerBytes = 64 * 1024;
+constexpr int maxAttempts = 4;
+
+// Shared by the caller's side and the dispatching side of one request, both on one event loop.
+// The dispatching side outlives the caller's patience, so that a resend can find the answer.
+struct OnceState
+{
+    explicit OnceState(asio::io_context &loop) : signal(loop) { }
+
+    void finish(HttpResponse answer)
+    {
+        response = std::move(answer);
+        finished = true;
+        signal.cancel();
+    }
+
+    asio::steady_timer signal;
+    HttpResponse response;
+    bool finished = false;
+    bool dispatched = false;
+    bool keyTaken = false; ///< another sending of the request holds the key
+    bool abandoned = false; ///< the caller was told `not-run`; never dispatch
+    RefusalReason refusedFor = RefusalReason::outcomeUnknown;
+    bool refused = false;
+};
+
+OnceAnswer storedAnswer(const HttpResponse &response)
+{
+    OnceAnswer answer;
+    answer.status = static_cast<std::uint16_t>(response.result_int());
+    for (const auto &field : response) {
+        answer.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    }
+    answer.body = response.body();
+    return answer;
+}
+
+HttpResponse replayedAnswer(const OnceAnswer &answer)
+{
+    HttpResponse response(static_cast<http::status>(answer.status), 11);
+    for (const OnceHeader &header : answer.headers) {
+        response.set(header.name, header.value);
+    }
+    response.body() = answer.body;
+    response.set(wire::outcome, "replayed");
+    return response;
+}
+
+class OnceDispatch
+{
+public:
+    OnceDispatch(Call &call, const std::string &key, std::shared_ptr<OnceState> state) :
+        worker_(call.worker), service_(call.service), deadline_(call.deadline),
+        request_(call.request), state_(std::move(state))
+    {
+        message_.service = service_->configuration.name;
+        message_.key = key;
+        message_.fingerprint = call.fingerprint;
+        message_.attempt = call.worker.random();
+    }
+
+    void run(Yield yield);
+
+private:
+    TargetPtr nextTarget(RefusalReason &reason, Yield yield);
+    bool claim(Yield yield);
+    void dispatch(TargetPtr target, Yield yield);
+    void settle(AttemptResult result, Yield yield);
+    void tell(OnceOperation operation, Milliseconds patience, Yield yield);
+    void refuse(RefusalReason reason, RunOutcome outcome);
+    void releaseAndRefuse(RefusalReason reason, Yield yield);
+
+    Worker &worker_;
+    std::shared_ptr<const ActiveService> service_;
+    TimePoint deadline_;
+    HttpRequest request_;
+    std::shared_ptr<OnceState> state_;
+    OnceRequest message_;
+    std::vector<std::string> tried_;
+};
+
+void OnceDispatch::refuse(RefusalReason reason, RunOutcome outcome)
+{
+    state_->refusedFor = reason;
+    state_->refused = true;
+    state_->finish(refusal(reason, outcome));
+}
+
+TargetPtr OnceDispatch::nextTarget(RefusalReason &reason, Yield yield)
+{
+    TargetPtr target = waitForTarget(worker_, *service_, tried_, deadline_, reason, yield);
+    if (target) {
+        tried_.push_back(target->record.name);
+    }
+    return target;
+}
+
+// True when this attempt alone may dispatch; otherwise the caller's answer is set.
+bool OnceDispatch::claim(Yield yield)
+{
+    message_.operation = OnceOperation::claim;
+    const TimePoint claimDeadline = std::min(deadline_, Clock::now() + claimTime);
+    auto reply = worker_.hooks.once(message_, claimDeadline, yield);
+    while (reply.ok() && reply->verdict == OnceVerdict::pending && !state_->abandoned
+           && Clock::now() + pendingPoll < deadline_) {
+        state_->keyTaken = true;
+        pauseFor(worker_.loop, pendingPoll, yield);
+        reply = worker_.hooks.once(message_, deadline_, yield);
+    }
+    if (!reply.ok()) {
+        // The claim may stand although its answer was lost. It is given back, never used.
+        refuse(RefusalReason::controlUnreachable, RunOutcome::notRun);
+        tell(OnceOperation::release, completeTime, yield);
+        return false;
+    }
+    switch (reply->verdict) {
+    case OnceVerdict::granted:
+        return true;
+    case OnceVerdict::done:
+        state_->finish(replayedAnswer(reply->answer));
+        return false;
+    case OnceVerdict::mismatch:
+        refuse(RefusalReason::keyMismatch, RunOutcome::notRun);
+        return false;
+    case OnceVerdict::full:
+        refuse(RefusalReason::recordsFull, RunOutcome::notRun);
+        return false;
+    default:
+        refuse(RefusalReason::outcomeUnknown, RunOutcome::unknown);
+        return false;
+    }
+}
+
+void OnceDispatch::tell(OnceOperation operation, Milliseconds patience, Yield yield)
+{
+    message_.operation = operation;
+    (void)worker_.hooks.once(message_, Clock::now() + patience, yield);
+}
+
+void OnceDispatch::releaseAndRefuse(RefusalReason reason, Yield yield)
+{
+    tell(OnceOperation::release, releaseTime, yield);
+    refuse(reason, RunOutcome::notRun);
+}
+
+void OnceDispatch::settle(AttemptResult result, Yield yield)
+{
+    if (result.end != AttemptEnd::answered) {
+        refuse(RefusalReason::outcomeUnknown, RunOutcome::unknown);
+        tell(OnceOperation::markUnknown, completeTime, yield);
+        return;
+    }
+    const bool storable = result.response.body().size() <= maxStoredAnswerBytes;
+    message_.answer = storable ? storedAnswer(result.response) : OnceAnswer();
+    state_->finish(std::move(result.response));
+    tell(storable ? OnceOperation::complete : OnceOperation::markUnknown, completeTime, yield);
+}
+
+void OnceDispatch::dispatch(TargetPtr target, Yield yield)
+{
+    AttemptOptions options;
+    options.deadline = Clock::now() + maxRunTime;
+    options.maxIdle = maxIdleConnection;
+    options.bufferBytes = static_cast<std::size_t>(service_->configuration.maxRequestBytes);
+    options.fingerprint = message_.fingerprint;
+    for (int attempt = 1;; ++attempt) {
+        AttemptHandle handle;
+        state_->dispatched = true;
+        AttemptResult result
+            = runAttempt(worker_, *service_, target, request_, options, handle, yield);
+        if (!provesNotRun(result.end)) {
+            if (result.end == AttemptEnd::streaming) {
+                releaseTarget(*service_, *target);
+            }
+            settle(std::move(result), yield);
+            return;
+        }
+        state_->dispatched = false;
+        RefusalReason reason = RefusalReason::retriesExhausted;
+        target = attempt < maxAttempts && !state_->abandoned ? nextTarget(reason, yield) : nullptr;
+        if (!target) {
+            releaseAndRefuse(reason, yield);
+            return;
+        }
+        if (state_->abandoned) {
+            releaseTarget(*service_, *target);
+            releaseAndRefuse(reason, yield);
+            return;
+        }
+    }
+}
+
+void OnceDispatch::run(Yield yield)
+{
+    RefusalReason reason = RefusalReason::noTarget;
+    const TargetPtr target = nextTarget(reason, yield);
+    if (!target) {
+        refuse(reason, RunOutcome::notRun);
+        return;
+    }
+    if (state_->abandoned || !claim(yield)) {
+        releaseTarget(*service_, *target);
+        return;
+    }
+    // The claim took time: the caller may have been answered, the target may be leaving.
+    if (state_->abandoned || !isUsable(*target, Clock::now())) {
+        releaseTarget(*service_, *target);
+        releaseAndRefuse(RefusalReason::noTarget, yield);
+        return;
+    }
+    dispatch(target, yield);
+}
+
+} // namespace
+
+void serveOnce(Call &call, const std::string &key, Yield yield)
+{
+    const auto state = std::make_shared<OnceState>(call.worker.loop);
+    auto dispatch = std::make_shared<OnceDispatch>(call, key, state);
+    spawnOn(call.worker.loop, [dispatch](Yield inner) { dispatch->run(inner); });
+    ErrorCode ignored;
+    if (!state->finished) {
+        state->signal.expires_at(call.deadline);
+        state->signal.async_wait(yield[ignored]);
+    }
+    if (!state->finished) {
+        state->abandoned = true;
+        const bool mayHaveRun = state->dispatched || state->keyTaken;
+        refuse(call,
+               mayHaveRun ? RefusalReason::outcomeUnknown : RefusalReason::deadlineExceeded,
+               mayHaveRun ? RunOutcome::unknown : RunOutcome::notRun, yield);
+        return;
+    }
+    ServiceCounters &counters = call.service->runtime->counters;
+    if (state->refused) {
+        ++counters.refused[static_cast<std::size_t>(state->refusedFor)];
+    } else {
+        ++counters.answered;
+    }
+    (void)call.caller.writeWhole(std::move(state->response), yield);
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/OutlierEjection.cpp
@@ -0,0 +1,87 @@
+#include "coordination/OutlierEjection.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+constexpr double maxErrorRate = 0.4;
+constexpr double maxSlowdown = 5;
+constexpr double minSlowExcessUs = 20'000;
+constexpr Milliseconds firstPause { 1'000 };
+constexpr Milliseconds longestPause { 30'000 };
+constexpr Milliseconds historyTime { 120'000 };
+constexpr Milliseconds returnRamp { 1'000 };
+
+double medianLatencyUs(const ActiveService &service)
+{
+    std::vector<double> latencies;
+    for (const TargetPtr &target : service.targets) {
+        if (target->stats->latencyUs() > 0) {
+            latencies.push_back(target->stats->latencyUs());
+        }
+    }
+    if (latencies.empty()) {
+        return 0;
+    }
+    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+    std::nth_element(latencies.begin(), middle, latencies.end());
+    return *middle;
+}
+
+const char *reasonToEject(const TargetStats &stats, double medianUs)
+{
+    if (stats.errorRate() > maxErrorRate) {
+        return "it fails";
+    }
+    const double latency = stats.latencyUs();
+    const bool slow = latency > medianUs * maxSlowdown && latency > medianUs + minSlowExcessUs;
+    return medianUs > 0 && slow ? "it is slower than its peers" : nullptr;
+}
+
+Milliseconds pauseAfter(int ejections)
+{
+    const Milliseconds pause = firstPause * (1 << std::min(ejections, 5));
+    return std::min(pause, longestPause);
+}
+
+} // namespace
+
+std::vector<EjectionEvent> OutlierEjection::judge(const ActiveService &service,
+                                                  double ejectedShare, TimePoint now)
+{
+    std::vector<EjectionEvent> events;
+    const double median = medianLatencyUs(service);
+    std::size_t ejected = 0;
+    for (const TargetPtr &target : service.targets) {
+        ejected += target->stats->isEjected(now) ? 1 : 0;
+    }
+    const double allowed = ejectedShare * static_cast<double>(service.targets.size());
+    for (const TargetPtr &target : service.targets) {
+        History &history = histories_[target->record.name];
+        TargetStats &stats = *target->stats;
+        if (history.ejected && !stats.isEjected(now)) {
+            history.ejected = false;
+            stats.resetObservations();
+            stats.markReady(now, returnRamp);
+            events.push_back({ target->record.name, false, "its pause is over" });
+        }
+        const char *why = history.ejected ? nullptr : reasonToEject(stats, median);
+        if (why == nullptr || static_cast<double>(ejected + 1) > allowed) {
+            continue;
+        }
+        if (now - history.last > historyTime) {
+            history.ejections = 0;
+        }
+        stats.eject(now + pauseAfter(history.ejections));
+        ++history.ejections;
+        ++ejected;
+        history.ejected = true;
+        history.last = now;
+        events.push_back({ target->record.name, true, why });
+    }
+    return events;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/OutlierEjection.h
@@ -0,0 +1,37 @@
+#pragma once
+/// \file
+/// Ejects targets that fail or lag far behind their peers, never more than a bounded share.
+/// An ejected target comes back after a pause that grows with each ejection.
+
+#include "coordination/RoutingTable.h"
+
+#include <map>
+
+namespace kumquat {
+
+struct EjectionEvent
+{
+    std::string target;
+    bool ejected = true; ///< false: it came back
+    std::string why;
+};
+
+class OutlierEjection
+{
+public:
+    /// Judges the targets of one service; to be called every few hundred milliseconds.
+    std::vector<EjectionEvent> judge(const ActiveService &service, double ejectedShare,
+                                     TimePoint now);
+
+private:
+    struct History
+    {
+        int ejections = 0;
+        bool ejected = false;
+        TimePoint last;
+    };
+
+    std::map<std::string, History> histories_;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/PeerLinks.cpp
@@ -0,0 +1,56 @@
+#include "coordination/PeerLinks.h"
+
+#include "protocol/Codec.h"
+#include "protocol/Wire.h"
+#include "transport/Spawn.h"
+
+namespace kumquat {
+
+namespace {
+
+constexpr std::size_t maxQueued = 256;
+constexpr std::size_t maxBatch = 64;
+constexpr Milliseconds sendTime { 500 };
+
+} // namespace
+
+PeerLinks::PeerLinks(asio::io_context &context, std::shared_ptr<Authenticator> authenticator) :
+    context_(context), client_(context, std::move(authenticator))
+{
+}
+
+void PeerLinks::send(const std::string &address, const RaftMessage &message)
+{
+    Link &link = links_[address];
+    if (link.queue.size() >= maxQueued) {
+        link.queue.pop_front();
+    }
+    link.queue.push_back(message);
+    if (!link.sending) {
+        link.sending = true;
+        spawnOn(context_, [this, address](Yield yield) { drain(address, yield); });
+    }
+}
+
+void PeerLinks::drain(const std::string &address, Yield yield)
+{
+    const auto to = parseAddress(address);
+    Link &link = links_[address];
+    while (to.ok() && !link.queue.empty()) {
+        RaftBatch batch;
+        while (!link.queue.empty() && batch.messages.size() < maxBatch) {
+            batch.messages.push_back(std::move(link.queue.front()));
+            link.queue.pop_front();
+        }
+        std::string bytes = pack(batch);
+        sentBytes_ += bytes.size();
+        ++sentBatches_;
+        const auto answer = client_.post(*to, wire::raftPath, std::move(bytes), sendTime, yield);
+        if (!answer.ok()) {
+            link.queue.clear();
+        }
+    }
+    link.sending = false;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/PeerLinks.h
@@ -0,0 +1,45 @@
+#pragma once
+/// \file
+/// Carries messages to the other members of the control group, in order, over HTTP.
+/// A link that is slow or broken drops messages; the replicated log sends again what matters.
+
+#include "protocol/RaftMessage.h"
+#include "transport/HttpClient.h"
+
+#include <deque>
+
+namespace kumquat {
+
+struct RaftBatch
+{
+    std::vector<RaftMessage> messages;
+    MSGPACK_DEFINE(messages)
+};
+
+class PeerLinks
+{
+public:
+    PeerLinks(asio::io_context &context, std::shared_ptr<Authenticator> authenticator);
+
+    void send(const std::string &address, const RaftMessage &message);
+
+    std::uint64_t sentBytes() const { return sentBytes_; }
+    std::uint64_t sentBatches() const { return sentBatches_; }
+
+private:
+    struct Link
+    {
+        std::deque<RaftMessage> queue;
+        bool sending = false;
+    };
+
+    void drain(const std::string &address, Yield yield);
+
+    asio::io_context &context_;
+    HttpClient client_;
+    std::map<std::string, Link> links_;
+    std::uint64_t sentBytes_ = 0;
+    std::uint64_t sentBatches_ = 0;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/Raft.h
@@ -0,0 +1,172 @@
+#pragma once
+/// \file
+/// Defines one member of the group that keeps the replicated log (Raft, with pre-vote,
+/// check-quorum and one-at-a-time membership change). It is plain logic without disk, network or
+/// clock: a driver passes time and messages in, and carries out what output() asks for.
+
+#include "common/Random.h"
+#include "common/Time.h"
+#include "coordination/RaftLog.h"
+#include "kumquat/Error.h"
+
+#include <absl/status/statusor.h>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace kumquat {
+
+enum class RaftRole { follower, preCandidate, candidate, leader };
+
+const char *raftRoleName(RaftRole role);
+
+struct RaftOptions
+{
+    Milliseconds heartbeat { 100 };
+    Milliseconds electionLow { 600 };
+    Milliseconds electionHigh { 1'200 };
+    std::size_t maxAppendBytes = 512 * 1024;
+    std::uint64_t seed = 0;
+};
+
+/// Work for the driver, in this order: store, then send what waited for it, then apply.
+struct RaftOutput
+{
+    std::vector<RaftMessage> atOnce; ///< may leave before anything is stored
+    std::optional<HardState> hardState;
+    std::vector<LogEntry> entries; ///< to store; an index already stored is overwritten
+    std::optional<LogSnapshot> installed; ///< replaces the stored log
+    std::vector<RaftMessage> afterStore;
+    std::uint64_t storedIndex = 0; ///< to report to stored() when all of this is on disk
+    bool mustStore() const { return hardState || !entries.empty() || installed; }
+};
+
+class Raft
+{
+public:
+    /// A member without a group has an empty log and epoch 0; it neither votes nor campaigns.
+    Raft(RaftOptions options, GroupMember self, HardState hardState, RaftLog log, TimePoint now);
+
+    /// Makes this member the only voter of a new group; it must have none.
+    absl::Status form(std::uint64_t epoch, TimePoint now);
+
+    void tick(TimePoint now);
+    void receive(const RaftMessage &message, TimePoint now);
+
+    /// Appends a command; fails with ErrorKind::notLeader. The index names it until applied.
+    absl::StatusOr<std::uint64_t> propose(std::string command, TimePoint now);
+
+    /// Hands out the work that has gathered since the last call.
+    RaftOutput output();
+
+    /// Everything up to \p index of the term \p term is on disk.
+    void stored(std::uint64_t index, std::uint64_t term, TimePoint now);
+
+    /// Entries that are committed and were not handed out before.
+    std::vector<LogEntry> takeCommitted();
+
+    /// True once after a snapshot of the leader's took the place of this member's log; the state
+    /// is then to be restored from log().snapshot().
+    bool takeInstalled() { return std::exchange(installed_, false); }
+
+    /// Replaces the log up to \p index by a snapshot with \p data; entries must be applied.
+    LogSnapshot compact(std::uint64_t index, std::string data);
+
+    /// Calls \p done(true) once a majority has confirmed, after this call, that this member
+    /// still leads; done(false) when it does not.
+    void confirmLeadership(std::function<void(bool)> done, TimePoint now);
+
+    /// Asks the most up-to-date follower to take over; for a planned stop.
+    void handOver(TimePoint now);
+
+    RaftRole role() const { return role_; }
+    bool leads() const { return role_ == RaftRole::leader; }
+    /// True when a majority answered within the last election timeout.
+    bool holdsLease(TimePoint now) const;
+    MemberId leader() const { return leader_; }
+    std::string leaderAddress() const;
+    std::uint64_t term() const { return hard_.term; }
+    std::uint64_t epoch() const { return hard_.epoch; }
+    std::uint64_t committed() const { return commit_; }
+    std::uint64_t applied() const { return applied_; }
+    const RaftLog &log() const { return log_; }
+    const GroupMember &self() const { return self_; }
+    const std::vector<GroupMember> &members() const { return members_; }
+    const HardState &hardState() const { return hard_; }
+
+private:
+    struct Progress
+    {
+        std::uint64_t next = 1;
+        std::uint64_t match = 0;
+        std::uint64_t round = 0;
+        TimePoint heardAt;
+        TimePoint sentAt;
+        bool inFlight = false;
+    };
+
+    struct PendingRead
+    {
+        std::uint64_t round;
+        std::function<void(bool)> done;
+    };
+
+    void setTerm(std::uint64_t term);
+    void saveHardState();
+    void becomeFollower(std::uint64_t term, MemberId leader, TimePoint now);
+    void becomeLeader(TimePoint now);
+    void campaign(bool preVote, TimePoint now);
+    void resetElectionTimer(TimePoint now);
+    void failReads();
+
+    void receiveVote(const RaftMessage &message, TimePoint now);
+    void receiveVoteReply(const RaftMessage &message, TimePoint now);
+    void receiveAppend(const RaftMessage &message, TimePoint now);
+    void receiveAppendReply(const RaftMessage &message, TimePoint now);
+    void receiveSnapshot(const RaftMessage &message, TimePoint now);
+    void receiveJoin(const RaftMessage &message, TimePoint now);
+    bool acceptsEpoch(const RaftMessage &message);
+
+    void append(LogEntry entry);
+    void appendMembers(const std::vector<GroupMember> &members, TimePoint now);
+    void advanceMembership(TimePoint now);
+    bool membershipSettled() const;
+    void sendAppend(const GroupMember &member, TimePoint now);
+    void broadcast(TimePoint now);
+    void advanceCommit(TimePoint now);
+    void confirmReads(TimePoint now);
+
+    RaftMessage message(RaftMessageType type, MemberId to) const;
+    bool isMajority(const std::set<MemberId> &ids) const;
+    std::size_t voters() const;
+    const GroupMember *find(MemberId id) const;
+    bool upToDate(const RaftMessage &message) const;
+
+    const RaftOptions options_;
+    GroupMember self_;
+    HardState hard_;
+    RaftLog log_;
+    std::vector<GroupMember> members_;
+    Random random_;
+
+    RaftRole role_ = RaftRole::follower;
+    MemberId leader_ = 0;
+    std::uint64_t commit_ = 0;
+    std::uint64_t applied_ = 0;
+    std::uint64_t stored_ = 0;
+    TimePoint electionAt_;
+    TimePoint leaderHeardAt_;
+    TimePoint heartbeatAt_;
+    std::set<MemberId> votes_;
+    std::map<MemberId, Progress> progress_;
+    std::map<MemberId, GroupMember> joining_;
+    std::vector<PendingRead> reads_;
+    std::uint64_t round_ = 0;
+    std::uint64_t leaderFirstIndex_ = 0;
+    bool installed_ = false;
+    RaftOutput output_;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/RaftLog.cpp
@@ -0,0 +1,76 @@
+#include "coordination/RaftLog.h"
+
+#include "protocol/Codec.h"
+
+namespace kumquat {
+
+std::uint64_t RaftLog::termAt(std::uint64_t index) const
+{
+    if (index == snapshot_.index) {
+        return snapshot_.term;
+    }
+    return at(index).term;
+}
+
+const LogEntry &RaftLog::at(std::uint64_t index) const
+{
+    KUMQUAT_ASSERT(index > snapshot_.index && index <= lastIndex(), std::to_string(index));
+    return entries_[index - firstIndex()];
+}
+
+void RaftLog::put(LogEntry entry)
+{
+    KUMQUAT_ASSERT(entry.index > snapshot_.index && entry.index <= lastIndex() + 1,
+                   std::to_string(entry.index));
+    entries_.resize(entry.index - firstIndex());
+    entries_.push_back(std::move(entry));
+}
+
+std::vector<LogEntry> RaftLog::slice(std::uint64_t index, std::size_t maxBytes) const
+{
+    std::vector<LogEntry> result;
+    std::size_t bytes = 0;
+    for (; index <= lastIndex(); ++index) {
+        const LogEntry &entry = at(index);
+        bytes += entry.payload.size() + sizeof(LogEntry);
+        if (!result.empty() && bytes > maxBytes) {
+            break;
+        }
+        result.push_back(entry);
+    }
+    return result;
+}
+
+std::uint64_t RaftLog::latestMembersIndex() const
+{
+    for (std::uint64_t index = lastIndex(); index > snapshot_.index; --index) {
+        if (at(index).type == EntryType::membership) {
+            return index;
+        }
+    }
+    return snapshot_.index;
+}
+
+std::vector<GroupMember> RaftLog::latestMembers() const
+{
+    const std::uint64_t index = latestMembersIndex();
+    if (index == snapshot_.index) {
+        return snapshot_.members;
+    }
+    const auto members = unpack<std::vector<GroupMember>>(at(index).payload);
+    KUMQUAT_ASSERT(members.ok(), "a membership entry that cannot be read");
+    return *members;
+}
+
+void RaftLog::install(LogSnapshot snapshot)
+{
+    std::vector<LogEntry> kept;
+    const bool agrees = holds(snapshot.index) && termAt(snapshot.index) == snapshot.term;
+    if (agrees && snapshot.index < lastIndex()) {
+        kept = slice(snapshot.index + 1, SIZE_MAX);
+    }
+    snapshot_ = std::move(snapshot);
+    entries_ = std::move(kept);
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/ServiceRuntime.cpp
@@ -0,0 +1,156 @@
+#include "coordination/ServiceRuntime.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+constexpr double serviceTimeWeight = 0.05;
+
+/// A service with more targets than this is sampled, so that a choice stays cheap.
+constexpr std::size_t maxScanned = 48;
+
+bool contains(const std::vector<std::string> &names, const std::string &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+double slowdown(const Target &target, double peerLatencyUs)
+{
+    const double own = target.stats->latencyUs();
+    return own > 0 && peerLatencyUs > 0 ? own / peerLatencyUs : 1;
+}
+
+std::vector<Candidate> candidates(const ActiveService &service,
+                                  const std::vector<std::string> &tried, TimePoint now,
+                                  Random &random)
+{
+    const std::size_t count = service.targets.size();
+    const std::size_t scanned = std::min(count, maxScanned);
+    const std::size_t start = count > maxScanned ? randomBelow(random, count) : 0;
+    const double peers = static_cast<double>(service.runtime->meanServiceTime().count());
+    std::vector<Candidate> result;
+    result.reserve(scanned);
+    for (std::size_t step = 0; step < scanned; ++step) {
+        const std::size_t index = (start + step) % count;
+        const Target &target = *service.targets[index];
+        const int limit = targetLimit(target, service.configuration.limits.slotsFactor, now);
+        const int inFlight = target.stats->inFlight();
+        if (!isUsable(target, now) || inFlight >= limit || contains(tried, target.record.name)) {
+            continue;
+        }
+        result.push_back({ index, inFlight, target.record.slots, target.stats->foreignLoad(now),
+                           slowdown(target, peers), target.stats->errorRate(),
+                           target.stats->shedRecently(now) });
+    }
+    return result;
+}
+
+} // namespace
+
+bool ServiceRuntime::tryEnter(int concurrency)
+{
+    if (concurrent_.fetch_add(1, std::memory_order_relaxed) < concurrency) {
+        return true;
+    }
+    leave();
+    return false;
+}
+
+bool ServiceRuntime::tryWait(const std::shared_ptr<Waiter> &waiter, std::size_t limit)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (waiters_.size() >= limit) {
+        return false;
+    }
+    waiters_.push_back(waiter);
+    waitingCount_.store(waiters_.size(), std::memory_order_relaxed);
+    return true;
+}
+
+void ServiceRuntime::cancelWait(const std::shared_ptr<Waiter> &waiter)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    waiters_.erase(std::remove(waiters_.begin(), waiters_.end(), waiter), waiters_.end());
+    waitingCount_.store(waiters_.size(), std::memory_order_relaxed);
+}
+
+void ServiceRuntime::wakeOne()
+{
+    if (waiting() == 0) {
+        return;
+    }
+    std::shared_ptr<Waiter> waiter;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (waiters_.empty()) {
+            return;
+        }
+        waiter = waiters_.front();
+        waiters_.pop_front();
+        waitingCount_.store(waiters_.size(), std::memory_order_relaxed);
+    }
+    asio::post(waiter->loop, [waiter] {
+        waiter->woken = true;
+        waiter->timer.cancel();
+    });
+}
+
+void ServiceRuntime::recordServiceTime(Clock::duration elapsed)
+{
+    const double sample = toMilliseconds(elapsed) * 1000;
+    const double old = serviceTimeUs_.load(std::memory_order_relaxed);
+    const double next = old == 0 ? sample : old + serviceTimeWeight * (sample - old);
+    serviceTimeUs_.store(next, std::memory_order_relaxed);
+}
+
+Microseconds ServiceRuntime::meanServiceTime() const
+{
+    const double value = serviceTimeUs_.load(std::memory_order_relaxed);
+    return Microseconds(static_cast<std::int64_t>(value));
+}
+
+TargetPtr acquireTarget(const ActiveService &service, const std::vector<std::string> &tried,
+                        TimePoint now, Random &random)
+{
+    std::vector<Candidate> list = candidates(service, tried, now, random);
+    while (!list.empty()) {
+        const std::size_t position = service.chooser(list, random());
+        const TargetPtr &target = service.targets[list[position].index];
+        const int limit = targetLimit(*target, service.configuration.limits.slotsFactor, now);
+        if (target->stats->tryAcquire(limit)) {
+            return target;
+        }
+        list.erase(list.begin() + static_cast<std::ptrdiff_t>(position));
+    }
+    return nullptr;
+}
+
+void releaseTarget(const ActiveService &service, const Target &target)
+{
+    target.stats->release();
+    service.runtime->wakeOne();
+}
+
+std::size_t usableTargets(const ActiveService &service, TimePoint now)
+{
+    return static_cast<std::size_t>(
+        std::count_if(service.targets.begin(), service.targets.end(),
+                      [now](const TargetPtr &target) { return isUsable(*target, now); }));
+}
+
+Microseconds expectedWait(const ActiveService &service, TimePoint now)
+{
+    std::int64_t places = 0;
+    for (const TargetPtr &target : service.targets) {
+        if (isUsable(*target, now)) {
+            places += targetLimit(*target, service.configuration.limits.slotsFactor, now);
+        }
+    }
+    const auto ahead = static_cast<std::int64_t>(service.runtime->waiting()) + 1;
+    const auto perPlace = service.runtime->meanServiceTime() * ahead;
+    return places == 0 ? Microseconds(0) : perPlace / places;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/Target.cpp
@@ -0,0 +1,108 @@
+#include "coordination/Target.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kumquat {
+
+namespace {
+
+constexpr double latencyWeight = 0.2;
+constexpr double errorWeight = 0.1;
+constexpr Milliseconds reportHalfLife { 20 };
+constexpr Milliseconds shedMemory { 3 };
+
+// A lost update between two threads costs one sample of a moving average, so no retry loop.
+void average(std::atomic<double> &value, double sample, double weight)
+{
+    const double old = value.load(std::memory_order_relaxed);
+    value.store(old + weight * (sample - old), std::memory_order_relaxed);
+}
+
+} // namespace
+
+bool TargetStats::tryAcquire(int limit)
+{
+    int present = inFlight_.load(std::memory_order_relaxed);
+    while (present < limit) {
+        if (inFlight_.compare_exchange_weak(present, present + 1, std::memory_order_relaxed)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void TargetStats::recordAnswer(Clock::duration elapsed, bool failed, TimePoint now)
+{
+    answers_.fetch_add(1, std::memory_order_relaxed);
+    average(errorRate_, failed ? 1.0 : 0.0, errorWeight);
+    store(lastSuccess_, now);
+    // A target that fails fast must not look quick.
+    if (failed) {
+        return;
+    }
+    const double sample = toMilliseconds(elapsed) * 1000;
+    if (latencyUs() == 0) {
+        latencyUs_.store(sample, std::memory_order_relaxed);
+    } else {
+        average(latencyUs_, sample, latencyWeight);
+    }
+}
+
+void TargetStats::recordBroken(TimePoint now)
+{
+    (void)now;
+    average(errorRate_, 1.0, errorWeight);
+}
+
+void TargetStats::recordShed(TimePoint now)
+{
+    store(lastShed_, now);
+    store(lastSuccess_, now);
+}
+
+bool TargetStats::shedRecently(TimePoint now) const
+{
+    return now - load(lastShed_) < shedMemory;
+}
+
+void TargetStats::recordReport(int inFlight, TimePoint now)
+{
+    const double foreign = std::max(0, inFlight - this->inFlight());
+    foreignAtReport_.store(foreign, std::memory_order_relaxed);
+    store(reportedAt_, now);
+}
+
+double TargetStats::foreignLoad(TimePoint now) const
+{
+    // The report ages: after 20 ms half of what it said is taken to be done.
+    const double age = toMilliseconds(now - load(reportedAt_));
+    return foreignAtReport_.load(std::memory_order_relaxed)
+        * std::exp2(-age / toMilliseconds(reportHalfLife));
+}
+
+void TargetStats::resetObservations()
+{
+    latencyUs_.store(0);
+    errorRate_.store(0);
+}
+
+int targetLimit(const Target &target, double slotsFactor, TimePoint now)
+{
+    const double full = std::max(1.0, std::ceil(target.record.slots * slotsFactor));
+    const Milliseconds cold = target.stats->ramp();
+    const auto age = now - target.stats->readySince();
+    if (cold.count() == 0 || age >= cold) {
+        return static_cast<int>(full);
+    }
+    const double share = toMilliseconds(age) / toMilliseconds(cold);
+    return static_cast<int>(std::max(1.0, std::floor(full * share)));
+}
+
+bool isUsable(const Target &target, TimePoint now)
+{
+    return target.record.state == TargetState::ready && !target.stats->isEjected(now)
+        && !target.stats->isUnreachable();
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/Target.h
@@ -0,0 +1,115 @@
+#pragma once
+/// \file
+/// Defines a target as one entry sees it: its announced record and its observed behaviour.
+/// The observations are atomics, since every worker thread reads and writes them.
+
+#include "common/Time.h"
+#include "kumquat/TargetRecord.h"
+#include "transport/Address.h"
+
+#include <atomic>
+#include <memory>
+
+namespace kumquat {
+
+/// What this entry has seen of a target; survives changes of the target's record.
+class TargetStats
+{
+public:
+    explicit TargetStats(std::uint64_t incarnation) : incarnation_(incarnation) { }
+
+    /// Of the target that was observed; a restarted target starts anew.
+    std::uint64_t incarnation() const { return incarnation_; }
+
+    /// Takes a place unless \p limit are taken.
+    bool tryAcquire(int limit);
+    void release() { inFlight_.fetch_sub(1, std::memory_order_relaxed); }
+    int inFlight() const { return inFlight_.load(std::memory_order_relaxed); }
+
+    /// Records an answer after \p elapsed; \p failed for a server error.
+    void recordAnswer(Clock::duration elapsed, bool failed, TimePoint now);
+    /// Records an exchange that brought no whole answer.
+    void recordBroken(TimePoint now);
+    void recordShed(TimePoint now);
+
+    /// Records what the target says of its own load.
+    void recordReport(int inFlight, TimePoint now);
+
+    /// Requests that other entries are estimated to have in flight there.
+    double foreignLoad(TimePoint now) const;
+
+    /// Moving averages; zero before the first answer.
+    double latencyUs() const { return latencyUs_.load(std::memory_order_relaxed); }
+    double errorRate() const { return errorRate_.load(std::memory_order_relaxed); }
+    bool shedRecently(TimePoint now) const;
+
+    std::uint64_t answers() const { return answers_.load(std::memory_order_relaxed); }
+    TimePoint lastSuccess() const { return load(lastSuccess_); }
+
+    void eject(TimePoint until) { store(ejectedUntil_, until); }
+    bool isEjected(TimePoint now) const { return now < load(ejectedUntil_); }
+
+    /// Idle connections last used before this time are not to be trusted.
+    void suspectConnections(TimePoint now) { store(suspectBefore_, now); }
+    TimePoint suspectBefore() const { return load(suspectBefore_); }
+
+    /// New work grows from one request to the full limit during \p ramp.
+    void markReady(TimePoint now, Milliseconds ramp)
+    {
+        ramp_.store(ramp.count(), std::memory_order_relaxed);
+        store(readySince_, now);
+    }
+    Milliseconds ramp() const { return Milliseconds(ramp_.load(std::memory_order_relaxed)); }
+    TimePoint readySince() const { return load(readySince_); }
+
+    /// A lease without news makes a target unreachable until it answers again.
+    void setUnreachable(bool unreachable) { unreachable_.store(unreachable); }
+    bool isUnreachable() const { return unreachable_.load(std::memory_order_relaxed); }
+
+    /// Forgets errors and latency, for a target that comes back after an ejection.
+    void resetObservations();
+
+private:
+    using Ticks = std::atomic<Clock::rep>;
+
+    static TimePoint load(const Ticks &ticks)
+    {
+        return TimePoint(Clock::duration(ticks.load(std::memory_order_relaxed)));
+    }
+    static void store(Ticks &ticks, TimePoint time)
+    {
+        ticks.store(time.time_since_epoch().count(), std::memory_order_relaxed);
+    }
+
+    const std::uint64_t incarnation_;
+    std::atomic<int> inFlight_ { 0 };
+    std::atomic<double> latencyUs_ { 0 };
+    std::atomic<double> errorRate_ { 0 };
+    std::atomic<double> foreignAtReport_ { 0 };
+    std::atomic<std::uint64_t> answers_ { 0 };
+    std::atomic<bool> unreachable_ { false };
+    std::atomic<Milliseconds::rep> ramp_ { 0 };
+    Ticks reportedAt_ { 0 };
+    Ticks lastSuccess_ { 0 };
+    Ticks lastShed_ { 0 };
+    Ticks ejectedUntil_ { 0 };
+    Ticks suspectBefore_ { 0 };
+    Ticks readySince_ { 0 };
+};
+
+struct Target
+{
+    TargetRecord record;
+    Address address;
+    std::shared_ptr<TargetStats> stats;
+};
+
+using TargetPtr = std::shared_ptr<const Target>;
+
+/// Requests this entry may have in flight at \p target, lower while it warms up.
+int targetLimit(const Target &target, double slotsFactor, TimePoint now);
+
+/// True when new work may go to \p target at all.
+bool isUsable(const Target &target, TimePoint now);
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/UploadCall.cpp
@@ -0,0 +1,120 @@
+#include "coordination/Call.h"
+#include "protocol/Headers.h"
+
+namespace kumquat {
+
+namespace {
+
+/// How the passing on of an upload's body ended.
+enum class BodyEnd { whole, callerBroke, targetBroke, answeredEarly };
+
+BodyEnd relayBody(Call &call, TargetConnection &connection, Yield yield)
+{
+    const Milliseconds idle = call.service->configuration.uploadIdleTimeout;
+    connection.setDeadline(Clock::now() + idle);
+    if (connection.sendHead(call.request.base(), call.caller.contentLength(), yield)) {
+        return BodyEnd::targetBroke;
+    }
+    std::string part;
+    while (!call.caller.bodyRead()) {
+        part.clear();
+        if (call.caller.readSomeBody(part, idle, yield)) {
+            return BodyEnd::callerBroke;
+        }
+        connection.setDeadline(Clock::now() + idle);
+        if (!part.empty() && connection.sendPart(part, false, yield)) {
+            return connection.hasInput() ? BodyEnd::answeredEarly : BodyEnd::targetBroke;
+        }
+        if (connection.hasInput() && !call.caller.bodyRead()) {
+            return BodyEnd::answeredEarly;
+        }
+    }
+    return connection.sendPart("", true, yield) ? BodyEnd::targetBroke : BodyEnd::whole;
+}
+
+void answerUpload(Call &call, const TargetPtr &target,
+                  std::unique_ptr<TargetConnection> connection, BodyEnd bodyEnd, Yield yield)
+{
+    connection->setDeadline(call.deadline);
+    ErrorCode error = connection->readHead(false, yield);
+    std::string body;
+    if (!error) {
+        error = connection->readBody(body, AttemptOptions().bufferBytes, yield);
+    }
+    if (error) {
+        releaseTarget(*call.service, *target);
+        target->stats->recordBroken(Clock::now());
+        const bool late = error == beast::error::timeout;
+        refuse(call, late ? RefusalReason::deadlineExceeded : RefusalReason::targetFailed,
+               RunOutcome::unknown, yield);
+        return;
+    }
+    AttemptResult result;
+    result.target = target;
+    result.response = HttpResponse(connection->head());
+    result.response.body() = std::move(body);
+    const bool shed = isShed(result.response.result_int(), result.response);
+    removeHopByHop(result.response);
+    if (!connection->answerWhole()) {
+        result.connection = std::move(connection);
+        relayStreaming(call, std::move(result), yield);
+        return;
+    }
+    if (bodyEnd == BodyEnd::whole && connection->reusable()) {
+        call.worker.pool.giveBack(std::move(connection));
+    }
+    releaseTarget(*call.service, *target);
+    if (shed) {
+        ++call.service->runtime->counters.sheds;
+        refuse(call, RefusalReason::overloaded, RunOutcome::notRun, yield);
+        return;
+    }
+    ++call.service->runtime->counters.answered;
+    (void)call.caller.writeWhole(std::move(result.response), yield);
+}
+
+} // namespace
+
+void serveUpload(Call &call, Yield yield)
+{
+    std::vector<std::string> tried;
+    RefusalReason reason = RefusalReason::noTarget;
+    std::unique_ptr<TargetConnection> connection;
+    TargetPtr target;
+    // A target that cannot even be reached is passed over; no byte of the body is read yet.
+    while (!connection) {
+        target = waitForTarget(call.worker, *call.service, tried, call.deadline, reason, yield);
+        if (!target) {
+            refuse(call, reason, RunOutcome::notRun, yield);
+            return;
+        }
+        tried.push_back(target->record.name);
+        AttemptOptions options;
+        options.deadline = call.deadline;
+        options.onlyFresh = true;
+        AttemptHandle handle;
+        connection = connectTo(call.worker, *target, options, handle, yield);
+        if (!connection) {
+            target->stats->recordBroken(Clock::now());
+            releaseTarget(*call.service, *target);
+        }
+    }
+    const BodyEnd end = relayBody(call, *connection, yield);
+    if (end == BodyEnd::callerBroke) {
+        // Closing mid-body: by its framing the target sees that the upload is not whole.
+        connection->close();
+        releaseTarget(*call.service, *target);
+        ++call.service->runtime->counters.departed;
+        call.caller.abort();
+        return;
+    }
+    if (end == BodyEnd::targetBroke) {
+        target->stats->recordBroken(Clock::now());
+        releaseTarget(*call.service, *target);
+        refuse(call, RefusalReason::targetFailed, RunOutcome::unknown, yield);
+        return;
+    }
+    answerUpload(call, target, std::move(connection), end, yield);
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/protocol/CallerConnection.cpp
@@ -0,0 +1,261 @@
+#include "protocol/CallerConnection.h"
+
+#include "protocol/Refusal.h"
+#include "transport/Spawn.h"
+
+#include <sys/socket.h>
+
+namespace kumquat {
+
+namespace {
+
+constexpr std::size_t maxHeaderBytes = 16 * 1024;
+constexpr std::size_t partBytes = 64 * 1024;
+constexpr std::size_t firstReadBytes = 4 * 1024;
+constexpr Seconds headerReadTime { 10 };
+constexpr Seconds keepAliveTime { 60 };
+constexpr Seconds writeTime { 30 };
+
+} // namespace
+
+CallerConnection::CallerConnection(asio::io_context &context, asio::ip::tcp::socket socket) :
+    context_(context), stream_(std::move(socket)), buffer_(maxHeaderBytes + partBytes)
+{
+}
+
+std::optional<std::uint64_t> CallerConnection::contentLength() const
+{
+    const auto length = parser_->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+void CallerConnection::serve(const Handler &handler, const std::function<bool()> &stopping,
+                             Yield yield)
+{
+    while (!stopping() && !closing_) {
+        if (!readHeader(yield)) {
+            break;
+        }
+        answered_ = false;
+        // Once stopping, the answer tells the caller to open its next connection elsewhere.
+        handler(*this, yield);
+        stopWatching();
+        const bool again = answered_ && bodyRead() && parser_->get().keep_alive();
+        if (!again || stopping()) {
+            break;
+        }
+    }
+    ErrorCode ignored;
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    stream_.close();
+}
+
+// Waits long for the first byte of a request, then only shortly for the rest of its header.
+ErrorCode CallerConnection::waitForRequest(Yield yield)
+{
+    ErrorCode error;
+    waiting_ = true;
+    stream_.expires_after(keepAliveTime);
+    const std::size_t bytes
+        = stream_.async_read_some(buffer_.prepare(firstReadBytes), yield[error]);
+    buffer_.commit(bytes);
+    waiting_ = false;
+    return error;
+}
+
+bool CallerConnection::readHeader(Yield yield)
+{
+    parser_.emplace();
+    parser_->header_limit(maxHeaderBytes);
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    continued_ = false;
+    ErrorCode error;
+    if (buffer_.size() == 0) {
+        error = waitForRequest(yield);
+    }
+    if (!error) {
+        stream_.expires_after(headerReadTime);
+        http::async_read_header(stream_, buffer_, *parser_, yield[error]);
+    }
+    const bool malformed = error && error != http::error::end_of_stream
+        && error.category() == ErrorCode(http::error::bad_method).category();
+    if (malformed) {
+        answerMalformed(error, yield);
+    }
+    return !error;
+}
+
+void CallerConnection::answerMalformed(ErrorCode error, Yield yield)
+{
+    HttpResponse response = refusal(RefusalReason::malformedRequest, RunOutcome::notRun);
+    if (error == http::error::header_limit) {
+        response.result(http::status::request_header_fields_too_large);
+    }
+    closing_ = true;
+    (void)writeWhole(std::move(response), yield);
+}
+
+ErrorCode CallerConnection::continueIfExpected(Yield yield)
+{
+    ErrorCode error;
+    const bool expected = beast::iequals(header()[http::field::expect], "100-continue");
+    if (expected && !continued_) {
+        continued_ = true;
+        http::response<http::empty_body> response(http::status::continue_, 11);
+        http::async_write(stream_, response, yield[error]);
+    }
+    return error;
+}
+
+ErrorCode CallerConnection::readBody(std::string &body, std::size_t limit, TimePoint deadline,
+                                     Yield yield)
+{
+    if (contentLength().value_or(0) > limit) {
+        return http::error::body_limit;
+    }
+    ErrorCode error = continueIfExpected(yield);
+    while (!error && !parser_->is_done()) {
+        const std::size_t before = body.size();
+        body.resize(std::min(limit + 1, before + partBytes));
+        parser_->get().body().data = body.data() + before;
+        parser_->get().body().size = body.size() - before;
+        stream_.expires_at(deadline);
+        http::async_read(stream_, buffer_, *parser_, yield[error]);
+        body.resize(body.size() - parser_->get().body().size);
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        if (!error && body.size() > limit) {
+            error = http::error::body_limit;
+        }
+    }
+    return error;
+}
+
+ErrorCode CallerConnection::readSomeBody(std::string &part, Milliseconds idleTimeout, Yield yield)
+{
+    ErrorCode error = continueIfExpected(yield);
+    if (error || parser_->is_done()) {
+        return error;
+    }
+    part.resize(partBytes);
+    parser_->get().body().data = part.data();
+    parser_->get().body().size = part.size();
+    stream_.expires_after(idleTimeout);
+    http::async_read_some(stream_, buffer_, *parser_, yield[error]);
+    part.resize(partBytes - parser_->get().body().size);
+    if (error == http::error::need_buffer) {
+        error = {};
+    }
+    return error;
+}
+
+ErrorCode CallerConnection::writeWhole(HttpResponse response, Yield yield)
+{
+    stopWatching();
+    ErrorCode error;
+    response.version(11);
+    // A body that nobody will read would be taken for the next request.
+    const bool keep = !closing_ && parser_->is_header_done() && bodyRead()
+        && parser_->get().keep_alive();
+    response.keep_alive(keep);
+    if (parser_->is_header_done() && header().method() == http::verb::head) {
+        response.content_length(response.body().size());
+        response.body().clear();
+        http::response_serializer<http::string_body> serializer(response);
+        stream_.expires_after(writeTime);
+        http::async_write_header(stream_, serializer, yield[error]);
+    } else {
+        response.prepare_payload();
+        stream_.expires_after(writeTime);
+        http::async_write(stream_, response, yield[error]);
+    }
+    answered_ = !error && keep;
+    return error;
+}
+
+ErrorCode CallerConnection::writeHead(http::response_header<> head,
+                                      std::optional<std::uint64_t> length, Yield yield)
+{
+    stopWatching();
+    streamed_.emplace(std::move(head));
+    streamed_->version(11);
+    if (length) {
+        streamed_->content_length(*length);
+    } else {
+        streamed_->chunked(true);
+    }
+    streamed_->keep_alive(bodyRead() && parser_->get().keep_alive());
+    streamed_->body().data = nullptr;
+    streamed_->body().more = true;
+    serializer_.emplace(*streamed_);
+    ErrorCode error;
+    stream_.expires_after(writeTime);
+    http::async_write_header(stream_, *serializer_, yield[error]);
+    return error;
+}
+
+ErrorCode CallerConnection::writePart(const std::string &part, bool last, Yield yield)
+{
+    ErrorCode error;
+    streamed_->body().data = part.empty() ? nullptr : const_cast<char *>(part.data());
+    streamed_->body().size = part.size();
+    streamed_->body().more = !last;
+    stream_.expires_after(writeTime);
+    http::async_write(stream_, *serializer_, yield[error]);
+    if (error == http::error::need_buffer) {
+        error = {};
+    }
+    answered_ = last && !error && streamed_->keep_alive();
+    return error;
+}
+
+void CallerConnection::watchDeparture(std::function<void()> onDeparture)
+{
+    departure_ = std::make_shared<std::function<void()>>(std::move(onDeparture));
+    watch();
+}
+
+void CallerConnection::stopWatching()
+{
+    departure_.reset();
+}
+
+void CallerConnection::watch()
+{
+    const std::weak_ptr<std::function<void()>> departure = departure_;
+    stream_.socket().async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [self = shared_from_this(), departure](ErrorCode error) {
+            const auto callback = departure.lock();
+            if (!callback || error) {
+                return;
+            }
+            // Bytes that wait are the caller's next request; an end or an error is its departure.
+            char byte = 0;
+            const auto seen = ::recv(self->stream_.socket().native_handle(), &byte, 1,
+                                     MSG_PEEK | MSG_DONTWAIT);
+            if (seen == 0 || (seen < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+                (*callback)();
+            }
+        });
+}
+
+void CallerConnection::abort()
+{
+    ErrorCode ignored;
+    closing_ = true;
+    answered_ = false;
+    // A reset, so that not even an answer without a length can look complete.
+    stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    stream_.socket().close(ignored);
+}
+
+void CallerConnection::closeIfWaiting()
+{
+    if (waiting_) {
+        stream_.close();
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/protocol/CallerConnection.h
@@ -0,0 +1,73 @@
+#pragma once
+/// \file
+/// Serves one caller's connection: reads requests and writes whole or streamed answers.
+/// The handler decides what becomes of a request; this class only keeps HTTP in order.
+
+#include "common/Time.h"
+#include "transport/HttpServer.h"
+
+#include <optional>
+
+namespace kumquat {
+
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
+{
+public:
+    /// Called for each request after its header was read; must answer or abort().
+    using Handler = std::function<void(CallerConnection &, Yield)>;
+    using Parser = http::request_parser<http::buffer_body>;
+
+    CallerConnection(asio::io_context &context, asio::ip::tcp::socket socket);
+
+    /// Serves requests until the caller or the process ends the connection.
+    void serve(const Handler &handler, const std::function<bool()> &stopping, Yield yield);
+
+    asio::io_context &context() { return context_; }
+    const http::request_header<> &header() const { return parser_->get(); }
+    std::optional<std::uint64_t> contentLength() const;
+    bool hasBody() const { return !parser_->is_done(); }
+    bool bodyRead() const { return parser_->is_done(); }
+    bool isWaiting() const { return waiting_; }
+
+    /// Reads the whole body; http::error::body_limit when it is longer than \p limit.
+    ErrorCode readBody(std::string &body, std::size_t limit, TimePoint deadline, Yield yield);
+
+    /// Appends the next part of the body; fails when none comes within \p idleTimeout.
+    ErrorCode readSomeBody(std::string &part, Milliseconds idleTimeout, Yield yield);
+
+    ErrorCode writeWhole(HttpResponse response, Yield yield);
+
+    /// A streamed answer: head, then parts, then the end.
+    ErrorCode writeHead(http::response_header<> head, std::optional<std::uint64_t> length,
+                        Yield yield);
+    ErrorCode writePart(const std::string &part, bool last, Yield yield);
+
+    /// Calls \p onDeparture once if the caller closes the connection; until stopWatching().
+    void watchDeparture(std::function<void()> onDeparture);
+    void stopWatching();
+
+    /// Ends the connection so that the caller cannot take what was sent for a whole answer.
+    void abort();
+    void closeIfWaiting();
+
+private:
+    ErrorCode continueIfExpected(Yield yield);
+    void watch();
+    void answerMalformed(ErrorCode error, Yield yield);
+    ErrorCode waitForRequest(Yield yield);
+    bool readHeader(Yield yield);
+
+    asio::io_context &context_;
+    TcpStream stream_;
+    beast::flat_buffer buffer_;
+    std::optional<Parser> parser_;
+    std::shared_ptr<std::function<void()>> departure_;
+    std::optional<http::response<http::buffer_body>> streamed_;
+    std::optional<http::response_serializer<http::buffer_body>> serializer_;
+    bool waiting_ = false;
+    bool answered_ = false;
+    bool closing_ = false;
+    bool continued_ = false;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/protocol/Codec.h
@@ -0,0 +1,38 @@
+#pragma once
+/// \file
+/// Packs and unpacks messages between the system's own processes with msgpack.
+/// Bytes that do not hold the expected message are an error, never an exception.
+
+#include "kumquat/Error.h"
+
+#include <absl/status/statusor.h>
+#include <msgpack.hpp>
+#include <string>
+
+namespace kumquat {
+
+template <typename Message>
+std::string pack(const Message &message)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, message);
+    return { buffer.data(), buffer.size() };
+}
+
+/// Fails with ErrorKind::badMessage.
+template <typename Message>
+absl::StatusOr<Message> unpack(const std::string &bytes)
+{
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        Message message;
+        handle.get().convert(message);
+        return message;
+    } catch (const std::exception &exception) {
+        return makeError(ErrorKind::badMessage,
+                         std::string("the message cannot be read: ") + exception.what(),
+                         "run the same version on every instance");
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/protocol/RaftMessage.h
@@ -0,0 +1,93 @@
+#pragma once
+/// \file
+/// Defines the entries of the replicated log and the messages that its members exchange.
+/// Members are known by an identity drawn when their disk was first used, not by name.
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+using MemberId = std::uint64_t; ///< 0: none
+
+struct GroupMember
+{
+    MemberId id = 0;
+    std::string name;
+    std::string address;
+    bool voter = false; ///< learners receive the log and are not counted
+    MSGPACK_DEFINE(id, name, address, voter)
+};
+
+enum class EntryType { none, command, membership };
+
+struct LogEntry
+{
+    std::uint64_t index = 0;
+    std::uint64_t term = 0;
+    EntryType type = EntryType::none;
+    std::string payload; ///< a command, or the packed members
+    MSGPACK_DEFINE(index, term, type, payload)
+};
+
+/// What must never be taken back: on disk before a message that relies on it leaves.
+struct HardState
+{
+    std::uint64_t epoch = 0;
+    std::uint64_t term = 0;
+    MemberId votedFor = 0;
+    MSGPACK_DEFINE(epoch, term, votedFor)
+    bool operator==(const HardState &other) const
+    {
+        return epoch == other.epoch && term == other.term && votedFor == other.votedFor;
+    }
+};
+
+struct LogSnapshot
+{
+    std::uint64_t epoch = 0;
+    std::uint64_t index = 0; ///< of the last entry it covers
+    std::uint64_t term = 0; ///< of that entry
+    std::vector<GroupMember> members;
+    std::string data;
+    MSGPACK_DEFINE(epoch, index, term, members, data)
+};
+
+enum class RaftMessageType {
+    preVote,
+    preVoteReply,
+    vote,
+    voteReply,
+    append,
+    appendReply,
+    snapshot,
+    join,
+    campaignNow,
+};
+
+struct RaftMessage
+{
+    RaftMessageType type = RaftMessageType::append;
+    std::uint64_t epoch = 0;
+    std::uint64_t term = 0;
+    MemberId from = 0;
+    std::string fromAddress; ///< for members that do not know the sender yet
+    MemberId to = 0;
+    std::uint64_t index = 0; ///< of the entry before `entries`; of the last held, in replies
+    std::uint64_t logTerm = 0; ///< of the entry at `index`
+    std::uint64_t commit = 0;
+    std::uint64_t round = 0; ///< heartbeat round, echoed in replies
+    bool granted = false;
+    std::vector<LogEntry> entries;
+    LogSnapshot snapshot;
+    GroupMember joining;
+    MSGPACK_DEFINE(type, epoch, term, from, fromAddress, to, index, logTerm, commit, round, granted, entries,
+                   snapshot, joining)
+};
+
+} // namespace kumquat
+
+MSGPACK_ADD_ENUM(kumquat::EntryType);
+MSGPACK_ADD_ENUM(kumquat::RaftMessageType);
--- /dev/null
+++ b/src/protocol/Settings.cpp
@@ -0,0 +1,163 @@
+#include "kumquat/Settings.h"
+
+#include "common/JsonReader.h"
+#include "transport/Address.h"
+
+#include <absl/strings/ascii.h>
+#include <fstream>
+#include <sstream>
+
+namespace kumquat {
+
+namespace {
+
+constexpr std::size_t minKeyBytes = 16;
+
+absl::StatusOr<std::string> readFile(const std::string &file)
+{
+    std::ifstream stream(file);
+    if (!stream) {
+        return makeError(ErrorKind::badSettings, "cannot read " + file, "name a readable file");
+    }
+    std::ostringstream content;
+    content << stream.rdbuf();
+    return content.str();
+}
+
+std::string readAddress(JsonObject &object, const char *key, JsonProblems &problems)
+{
+    const std::string text = object.text(key);
+    if (!text.empty() && !parseAddress(text).ok()) {
+        problems.add(object.pathOf(key), "is '" + text + "'", "write an address as IP:PORT");
+    }
+    return text;
+}
+
+std::vector<std::string> readAddresses(JsonObject &object, const char *key, JsonProblems &problems)
+{
+    std::vector<std::string> addresses = object.texts(key, true);
+    for (const std::string &text : addresses) {
+        if (!parseAddress(text).ok()) {
+            problems.add(object.pathOf(key), "holds '" + text + "'", "write addresses as IP:PORT");
+        }
+    }
+    return addresses;
+}
+
+std::vector<ControlMember> readMembers(JsonObject &object, JsonProblems &problems)
+{
+    std::vector<ControlMember> members;
+    const Json::Value &list = object.member("members");
+    const std::string path = object.pathOf("members");
+    if (!list.isArray() || list.empty()) {
+        problems.add(path, "holds no member", "list each member as { \"name\", \"address\" }");
+        return members;
+    }
+    for (Json::ArrayIndex i = 0; i < list.size(); ++i) {
+        JsonObject member(list[i], path + "/" + std::to_string(i), problems);
+        const std::string name = member.text("name");
+        members.push_back({ name, readAddress(member, "address", problems) });
+        member.finish();
+    }
+    return members;
+}
+
+template <typename Settings>
+absl::StatusOr<Settings> finished(Settings settings, JsonObject &object,
+                                  const JsonProblems &problems)
+{
+    object.finish();
+    const absl::Status status = problems.status(ErrorKind::badSettings);
+    if (!status.ok()) {
+        return status;
+    }
+    return settings;
+}
+
+} // namespace
+
+absl::StatusOr<EntrySettings> parseEntrySettings(const std::string &file, const std::string &text)
+{
+    const auto json = parseJson(file, text, ErrorKind::badSettings);
+    if (!json.ok()) {
+        return json.status();
+    }
+    JsonProblems problems(file);
+    JsonObject object(*json, "", problems);
+    EntrySettings settings;
+    settings.name = object.text("name");
+    settings.failureDomain = object.text("failureDomain");
+    settings.callerAddress = readAddress(object, "callerAddress", problems);
+    settings.internalAddress = readAddress(object, "internalAddress", problems);
+    settings.gossipAddress = readAddress(object, "gossipAddress", problems);
+    settings.gossipPeers = readAddresses(object, "gossipPeers", problems);
+    settings.controlMembers = readAddresses(object, "controlMembers", problems);
+    settings.clusterKeyFile = object.text("clusterKeyFile");
+    settings.threads = static_cast<int>(object.integer("threads", 1, 64, settings.threads));
+    settings.maxConnections
+        = static_cast<int>(object.integer("maxConnections", 1, 100'000, settings.maxConnections));
+    settings.stopGraceMs
+        = static_cast<int>(object.integer("stopGraceMs", 0, 60'000, settings.stopGraceMs));
+    return finished(settings, object, problems);
+}
+
+absl::StatusOr<ControlSettings> parseControlSettings(const std::string &file,
+                                                     const std::string &text)
+{
+    const auto json = parseJson(file, text, ErrorKind::badSettings);
+    if (!json.ok()) {
+        return json.status();
+    }
+    JsonProblems problems(file);
+    JsonObject object(*json, "", problems);
+    ControlSettings settings;
+    settings.name = object.text("name");
+    settings.failureDomain = object.text("failureDomain");
+    settings.dataFolder = object.text("dataFolder");
+    settings.members = readMembers(object, problems);
+    settings.clusterKeyFile = object.text("clusterKeyFile");
+    settings.maxOnceRecords = static_cast<int>(
+        object.integer("maxOnceRecords", 1, 10'000'000, settings.maxOnceRecords));
+    settings.onceRetentionSeconds = static_cast<int>(
+        object.integer("onceRetentionSeconds", 60, 31'536'000, settings.onceRetentionSeconds));
+    settings.snapshotEveryEntries = static_cast<int>(
+        object.integer("snapshotEveryEntries", 10, 10'000'000, settings.snapshotEveryEntries));
+    bool listed = false;
+    for (const ControlMember &member : settings.members) {
+        listed = listed || member.name == settings.name;
+    }
+    if (!listed) {
+        problems.add("/members", "does not list '" + settings.name + "'", "add this member itself");
+    }
+    return finished(settings, object, problems);
+}
+
+absl::StatusOr<EntrySettings> readEntrySettings(const std::string &file)
+{
+    const auto text = readFile(file);
+    return text.ok() ? parseEntrySettings(file, *text)
+                     : absl::StatusOr<EntrySettings>(text.status());
+}
+
+absl::StatusOr<ControlSettings> readControlSettings(const std::string &file)
+{
+    const auto text = readFile(file);
+    return text.ok() ? parseControlSettings(file, *text)
+                     : absl::StatusOr<ControlSettings>(text.status());
+}
+
+absl::StatusOr<std::string> readClusterKey(const std::string &file)
+{
+    const auto text = readFile(file);
+    if (!text.ok()) {
+        return text.status();
+    }
+    std::string key(absl::StripAsciiWhitespace(*text));
+    if (key.size() < minKeyBytes) {
+        return makeError(ErrorKind::badSettings, file + " holds a key that is too short",
+                         "write at least 16 random characters into it");
+    }
+    return key;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/protocol/TargetConnection.cpp
@@ -0,0 +1,156 @@
+#include "protocol/TargetConnection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace kumquat {
+
+namespace {
+
+constexpr std::size_t maxHeaderBytes = 32 * 1024;
+constexpr std::size_t partBytes = 64 * 1024;
+constexpr unsigned unackedTimeoutMs = 5'000;
+constexpr int maxInterimAnswers = 8;
+
+} // namespace
+
+TargetConnection::TargetConnection(asio::io_context &context, Address address) :
+    address_(std::move(address)), stream_(context), buffer_(maxHeaderBytes + partBytes)
+{
+}
+
+ErrorCode TargetConnection::dial(TimePoint deadline, Yield yield)
+{
+    ErrorCode error;
+    stream_.expires_at(deadline);
+    stream_.async_connect(address_.tcp(), yield[error]);
+    if (!error) {
+        stream_.socket().set_option(asio::ip::tcp::no_delay(true), error);
+        setsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                   &unackedTimeoutMs, sizeof(unackedTimeoutMs));
+        lastAnswer_ = Clock::now();
+    }
+    return error;
+}
+
+ErrorCode TargetConnection::sendWhole(const HttpRequest &request, Yield yield)
+{
+    ErrorCode error;
+    ++exchanges_;
+    parser_.reset();
+    http::async_write(stream_, request, yield[error]);
+    return error;
+}
+
+ErrorCode TargetConnection::sendHead(http::request_header<> head,
+                                     std::optional<std::uint64_t> length, Yield yield)
+{
+    ErrorCode error;
+    ++exchanges_;
+    parser_.reset();
+    streamed_.emplace(std::move(head));
+    streamed_->version(11);
+    if (length) {
+        streamed_->content_length(*length);
+    } else {
+        streamed_->chunked(true);
+    }
+    streamed_->body().data = nullptr;
+    streamed_->body().more = true;
+    serializer_.emplace(*streamed_);
+    http::async_write_header(stream_, *serializer_, yield[error]);
+    return error;
+}
+
+ErrorCode TargetConnection::sendPart(const std::string &part, bool last, Yield yield)
+{
+    ErrorCode error;
+    streamed_->body().data = part.empty() ? nullptr : const_cast<char *>(part.data());
+    streamed_->body().size = part.size();
+    streamed_->body().more = !last;
+    http::async_write(stream_, *serializer_, yield[error]);
+    if (error == http::error::need_buffer) {
+        error = {};
+    }
+    return error;
+}
+
+ErrorCode TargetConnection::readHead(bool headRequest, Yield yield)
+{
+    ErrorCode error;
+    for (int interim = 0; interim <= maxInterimAnswers; ++interim) {
+        parser_.emplace();
+        parser_->header_limit(maxHeaderBytes);
+        parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+        parser_->skip(headRequest);
+        http::async_read_header(stream_, buffer_, *parser_, yield[error]);
+        if (error) {
+            return error;
+        }
+        if (parser_->get().result_int() >= 200) {
+            // An answer that only the connection's end delimits cannot be told from a cut one.
+            const bool endless = !parser_->is_done() && !parser_->chunked()
+                && !parser_->content_length();
+            return endless ? ErrorCode(http::error::bad_content_length) : error;
+        }
+    }
+    return http::error::bad_status;
+}
+
+ErrorCode TargetConnection::readBody(std::string &body, std::size_t limit, Yield yield)
+{
+    ErrorCode error;
+    while (!parser_->is_done() && body.size() < limit) {
+        const std::size_t before = body.size();
+        const std::size_t expected = parser_->content_length_remaining().value_or(partBytes);
+        body.resize(std::min(limit, before + std::min(expected, partBytes)));
+        parser_->get().body().data = body.data() + before;
+        parser_->get().body().size = body.size() - before;
+        http::async_read(stream_, buffer_, *parser_, yield[error]);
+        body.resize(body.size() - parser_->get().body().size);
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        if (error) {
+            return error;
+        }
+    }
+    if (parser_->is_done()) {
+        lastAnswer_ = Clock::now();
+    }
+    return error;
+}
+
+std::optional<std::uint64_t> TargetConnection::answerLength() const
+{
+    const auto length = parser_->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+bool TargetConnection::reusable() const
+{
+    // Bytes past the answer belong to no request of ours.
+    return answerWhole() && parser_->get().keep_alive() && buffer_.size() == 0 && isOpen();
+}
+
+bool TargetConnection::isStale()
+{
+    char byte = 0;
+    const auto seen
+        = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return seen >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool TargetConnection::hasInput()
+{
+    char byte = 0;
+    return ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void TargetConnection::close()
+{
+    ErrorCode ignored;
+    stream_.socket().close(ignored);
+}
+
+} // namespace kumquat
