--- /dev/null
+++ b/src/protocol/TargetConnection.h
@@ -0,0 +1,68 @@
+#pragma once
+/// \file
+/// Defines one connection to a target and the exchange of one request and answer on it.
+/// A connection is used again only after a whole, well-framed answer.
+
+#include "common/Time.h"
+#include "transport/Address.h"
+#include "transport/HttpServer.h"
+
+#include <optional>
+
+namespace kumquat {
+
+class TargetConnection
+{
+public:
+    TargetConnection(asio::io_context &context, Address address);
+
+    ErrorCode dial(TimePoint deadline, Yield yield);
+    void setDeadline(TimePoint deadline) { stream_.expires_at(deadline); }
+
+    /// Sends a request whose body is held in memory.
+    ErrorCode sendWhole(const HttpRequest &request, Yield yield);
+
+    /// Sends a request in parts.
+    ErrorCode sendHead(http::request_header<> head, std::optional<std::uint64_t> length,
+                       Yield yield);
+    ErrorCode sendPart(const std::string &part, bool last, Yield yield);
+
+    /// Reads the answer's header; interim (1xx) answers are skipped.
+    ErrorCode readHead(bool headRequest, Yield yield);
+
+    /// Appends to \p body until the answer is whole or \p body holds \p limit bytes.
+    ErrorCode readBody(std::string &body, std::size_t limit, Yield yield);
+
+    const http::response_header<> &head() const { return parser_->get(); }
+    std::optional<std::uint64_t> answerLength() const;
+    bool answerWhole() const { return parser_ && parser_->is_done(); }
+    bool reusable() const;
+    bool isOpen() const { return stream_.socket().is_open(); }
+    bool hasAnswered() const { return parser_ && parser_->got_some(); }
+
+    /// True when the peer has closed the idle connection or sent what nobody asked for.
+    bool isStale();
+
+    /// True when the peer has sent something that was not read yet.
+    bool hasInput();
+
+    void close();
+
+    const Address &address() const { return address_; }
+    TimePoint lastAnswer() const { return lastAnswer_; }
+    bool isFresh() const { return exchanges_ <= 1; }
+
+private:
+    using Parser = http::response_parser<http::buffer_body>;
+
+    Address address_;
+    TcpStream stream_;
+    beast::flat_buffer buffer_;
+    std::optional<Parser> parser_;
+    std::optional<http::request<http::buffer_body>> streamed_;
+    std::optional<http::request_serializer<http::buffer_body>> serializer_;
+    TimePoint lastAnswer_;
+    int exchanges_ = 0;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/protocol/TargetRecord.cpp
@@ -0,0 +1,32 @@
+#include "kumquat/TargetRecord.h"
+
+namespace kumquat {
+
+const char *targetStateName(TargetState state)
+{
+    switch (state) {
+    case TargetState::starting:
+        return "starting";
+    case TargetState::ready:
+        return "ready";
+    case TargetState::draining:
+        return "draining";
+    case TargetState::gone:
+        return "gone";
+    }
+    return "unknown";
+}
+
+bool supersedes(const TargetRecord &candidate, const TargetRecord &present)
+{
+    if (candidate.incarnation != present.incarnation) {
+        return candidate.incarnation > present.incarnation;
+    }
+    // Within one incarnation a target only ever moves forward: one that drains never comes back.
+    if (candidate.state != present.state) {
+        return candidate.state > present.state;
+    }
+    return candidate.version > present.version;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/protocol/Wire.h
@@ -0,0 +1,25 @@
+#pragma once
+/// \file
+/// Names the headers, paths and reasons that callers, targets and operators meet on the wire.
+/// docs/OPERATORS.md documents each; they are stable.
+
+namespace kumquat::wire {
+
+constexpr char idempotencyKey[] = "Idempotency-Key";
+constexpr char deadline[] = "Kumquat-Deadline-Ms";
+constexpr char attempt[] = "Kumquat-Attempt";
+constexpr char outcome[] = "Kumquat-Outcome";
+constexpr char reason[] = "Kumquat-Reason";
+constexpr char load[] = "Kumquat-Load";
+constexpr char shed[] = "Kumquat-Shed";
+
+constexpr char targetsPath[] = "/kumquat/v1/targets/";
+constexpr char readyPath[] = "/kumquat/v1/ready";
+constexpr char dumpPath[] = "/kumquat/v1/dump";
+constexpr char metricsPath[] = "/kumquat/v1/metrics";
+constexpr char rpcPath[] = "/kumquat/v1/rpc";
+constexpr char raftPath[] = "/kumquat/v1/raft";
+constexpr char oncePath[] = "/kumquat/v1/once";
+constexpr char configurationPath[] = "/kumquat/v1/configuration";
+
+} // namespace kumquat::wire
--- /dev/null
+++ b/src/state/ConfigurationHistory.cpp
@@ -0,0 +1,83 @@
+#include "state/ConfigurationHistory.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+void removeFile(std::vector<FileWrite> &files, const std::string &name)
+{
+    files.erase(std::remove_if(files.begin(), files.end(),
+                               [&name](const FileWrite &file) { return file.name == name; }),
+                files.end());
+}
+
+} // namespace
+
+std::vector<FileWrite> changedFiles(std::vector<FileWrite> files,
+                                    const ConfigurationChange &change)
+{
+    for (const std::string &name : change.removals) {
+        removeFile(files, name);
+    }
+    for (const FileWrite &write : change.writes) {
+        removeFile(files, write.name);
+        files.push_back(write);
+    }
+    std::sort(files.begin(), files.end(), [](const FileWrite &left, const FileWrite &right) {
+        return left.name < right.name;
+    });
+    return files;
+}
+
+absl::Status checkFiles(const std::vector<FileWrite> &files)
+{
+    std::vector<ConfigurationFile> plain;
+    for (const FileWrite &file : files) {
+        plain.push_back({ file.name, file.content });
+    }
+    return parseConfiguration(std::move(plain)).status();
+}
+
+const ChangeResult *ConfigurationHistory::find(const std::string &id) const
+{
+    const auto found = results_.find(id);
+    return found == results_.end() ? nullptr : &found->second;
+}
+
+ChangeResult ConfigurationHistory::apply(const ConfigurationChange &change)
+{
+    const ChangeResult *known = find(change.id);
+    if (known != nullptr) {
+        return *known;
+    }
+    const ChangeResult result = decide(change);
+    results_[change.id] = result;
+    order_.push_back(change.id);
+    if (order_.size() > keptResults) {
+        results_.erase(order_.front());
+        order_.pop_front();
+    }
+    return result;
+}
+
+ChangeResult ConfigurationHistory::decide(const ConfigurationChange &change)
+{
+    if (change.base != number_) {
+        return { ChangeVerdict::conflict, number_,
+                 absl::StrCat("version ", number_, " is in force, the change builds on ",
+                              change.base, "; remedy: look at what changed, then apply again") };
+    }
+    std::vector<FileWrite> next = changedFiles(files_, change);
+    const absl::Status checked = checkFiles(next);
+    if (!checked.ok()) {
+        return { ChangeVerdict::refused, number_, std::string(checked.message()) };
+    }
+    files_ = std::move(next);
+    ++number_;
+    return { ChangeVerdict::accepted, number_, "" };
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/state/ConfigurationHistory.h
@@ -0,0 +1,76 @@
+#pragma once
+/// \file
+/// Holds the accepted configuration and the changes that led to it.
+/// It is a deterministic state of the replicated log: every member applies the same changes.
+
+#include "kumquat/Configuration.h"
+
+#include <deque>
+#include <map>
+#include <msgpack.hpp>
+
+namespace kumquat {
+
+struct FileWrite
+{
+    std::string name;
+    std::string content;
+    MSGPACK_DEFINE(name, content)
+};
+
+/// An operator's change on top of the version that the operator saw.
+struct ConfigurationChange
+{
+    std::string id; ///< drawn by the operator's tool; the same in a resend
+    std::uint64_t base = 0; ///< the version it builds on
+    std::vector<FileWrite> writes;
+    std::vector<std::string> removals;
+    MSGPACK_DEFINE(id, base, writes, removals)
+};
+
+enum class ChangeVerdict { accepted, conflict, refused };
+
+struct ChangeResult
+{
+    ChangeVerdict verdict = ChangeVerdict::refused;
+    std::uint64_t number = 0; ///< accepted: the new version; conflict: the version in force
+    std::string message;
+    MSGPACK_DEFINE(verdict, number, message)
+};
+
+class ConfigurationHistory
+{
+public:
+    /// Results of changes are kept for this many changes, so that a resend gets its answer.
+    static constexpr std::size_t keptResults = 20'000;
+
+    /// Applies a change, or repeats the result it had before.
+    ChangeResult apply(const ConfigurationChange &change);
+
+    /// The result that \p id had, or null.
+    const ChangeResult *find(const std::string &id) const;
+
+    std::uint64_t number() const { return number_; }
+    const std::vector<FileWrite> &files() const { return files_; }
+
+    MSGPACK_DEFINE(number_, files_, order_, results_)
+
+private:
+    ChangeResult decide(const ConfigurationChange &change);
+
+    std::uint64_t number_ = 0;
+    std::vector<FileWrite> files_; ///< in the order of their names
+    std::deque<std::string> order_;
+    std::map<std::string, ChangeResult> results_;
+};
+
+/// The files after \p change.
+std::vector<FileWrite> changedFiles(std::vector<FileWrite> files,
+                                    const ConfigurationChange &change);
+
+/// Checks the whole merge; fails with ErrorKind::badConfiguration.
+absl::Status checkFiles(const std::vector<FileWrite> &files);
+
+} // namespace kumquat
+
+MSGPACK_ADD_ENUM(kumquat::ChangeVerdict);
--- /dev/null
+++ b/src/state/ControlState.cpp
@@ -0,0 +1,58 @@
+#include "state/ControlState.h"
+
+#include "protocol/Codec.h"
+
+namespace kumquat {
+
+namespace {
+
+struct SavedState
+{
+    ConfigurationHistory configuration;
+    OnceRecords once;
+    MSGPACK_DEFINE(configuration, once)
+};
+
+} // namespace
+
+ControlResult ControlState::apply(const std::string &bytes)
+{
+    const auto command = unpack<ControlCommand>(bytes);
+    KUMQUAT_ASSERT(command.ok(), "a command that cannot be read");
+    ControlResult result;
+    switch (command->type) {
+    case CommandType::change:
+        result.change = configuration_.apply(command->change);
+        break;
+    case CommandType::once:
+        result.once = once_.apply(command->once, command->capacity,
+                                  std::chrono::milliseconds(command->wallMs));
+        break;
+    case CommandType::expire:
+        once_.expire(std::chrono::milliseconds(command->wallMs));
+        break;
+    }
+    return result;
+}
+
+std::string ControlState::save() const
+{
+    return pack(SavedState { configuration_, once_ });
+}
+
+absl::Status ControlState::restore(const std::string &data)
+{
+    if (data.empty()) {
+        *this = ControlState();
+        return absl::OkStatus();
+    }
+    auto saved = unpack<SavedState>(data);
+    if (!saved.ok()) {
+        return saved.status();
+    }
+    configuration_ = std::move(saved->configuration);
+    once_ = std::move(saved->once);
+    return absl::OkStatus();
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/state/Disk.cpp
@@ -0,0 +1,145 @@
+#include "state/Disk.h"
+
+#include "kumquat/Error.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <unistd.h>
+
+namespace kumquat {
+
+namespace {
+
+absl::Status failed(const std::string &what, const std::string &file)
+{
+    return makeError(ErrorKind::storageFailed,
+                     "cannot " + what + " " + file + ": " + std::strerror(errno),
+                     "see to the data folder's disk, then start the process again");
+}
+
+class FileDescriptor
+{
+public:
+    explicit FileDescriptor(int value) : value_(value) { }
+    ~FileDescriptor()
+    {
+        if (value_ >= 0) {
+            ::close(value_);
+        }
+    }
+    FileDescriptor(const FileDescriptor &) = delete;
+    FileDescriptor &operator=(const FileDescriptor &) = delete;
+    int value() const { return value_; }
+
+private:
+    int value_;
+};
+
+absl::Status writeAll(int descriptor, const std::string &bytes, const std::string &file)
+{
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+        const ssize_t written = ::write(descriptor, bytes.data() + done, bytes.size() - done);
+        if (written < 0 && errno != EINTR) {
+            return failed("write", file);
+        }
+        done += written < 0 ? 0 : static_cast<std::size_t>(written);
+    }
+    return absl::OkStatus();
+}
+
+class Folder
+{
+public:
+    explicit Folder(std::string path) : path_(std::move(path)) { }
+
+    std::optional<std::string> read(const std::string &name) const
+    {
+        std::ifstream stream(path_ + "/" + name, std::ios::binary);
+        if (!stream) {
+            return std::nullopt;
+        }
+        std::ostringstream content;
+        content << stream.rdbuf();
+        return content.str();
+    }
+
+    absl::Status append(const std::string &name, const std::string &bytes)
+    {
+        auto &open = appending_[name];
+        if (!open) {
+            const std::string file = path_ + "/" + name;
+            open = std::make_unique<FileDescriptor>(
+                ::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0640));
+            if (open->value() < 0) {
+                return failed("open", file);
+            }
+        }
+        return writeAll(open->value(), bytes, name);
+    }
+
+    absl::Status sync(const std::string &name)
+    {
+        const auto open = appending_.find(name);
+        if (open != appending_.end() && ::fdatasync(open->second->value()) != 0) {
+            return failed("sync", name);
+        }
+        return absl::OkStatus();
+    }
+
+    absl::Status replace(const std::string &name, const std::string &bytes)
+    {
+        const std::string file = path_ + "/" + name;
+        const std::string fresh = file + ".new";
+        appending_.erase(name);
+        const FileDescriptor descriptor(
+            ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0640));
+        if (descriptor.value() < 0) {
+            return failed("open", fresh);
+        }
+        const absl::Status written = writeAll(descriptor.value(), bytes, fresh);
+        if (!written.ok()) {
+            return written;
+        }
+        if (::fsync(descriptor.value()) != 0 || ::rename(fresh.c_str(), file.c_str()) != 0) {
+            return failed("replace", file);
+        }
+        const FileDescriptor folder(::open(path_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+        return ::fsync(folder.value()) == 0 ? absl::OkStatus() : failed("sync", path_);
+    }
+
+private:
+    std::string path_;
+    std::map<std::string, std::unique_ptr<FileDescriptor>> appending_;
+};
+
+} // namespace
+
+absl::Status openFolder(const std::string &folder, Disk &disk)
+{
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    if (error) {
+        return makeError(ErrorKind::badSettings,
+                         "cannot make folder " + folder + ": " + error.message(),
+                         "name a data folder that this process may write to");
+    }
+    const auto files = std::make_shared<Folder>(folder);
+    disk.read = [files](const std::string &name) { return files->read(name); };
+    disk.append = [files](const std::string &name, const std::string &bytes) {
+        return files->append(name, bytes);
+    };
+    disk.sync = [files](const std::string &name) { return files->sync(name); };
+    disk.replace = [files](const std::string &name, const std::string &bytes) {
+        return files->replace(name, bytes);
+    };
+    return absl::OkStatus();
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/state/LogStore.cpp
@@ -0,0 +1,176 @@
+#include "state/LogStore.h"
+
+#include "protocol/Codec.h"
+#include "state/RecordFile.h"
+
+namespace kumquat {
+
+namespace {
+
+constexpr char identityFile[] = "identity";
+constexpr char logFile[] = "log";
+constexpr char snapshotFile[] = "snapshot";
+
+enum class RecordType { hardState, entry };
+
+} // namespace
+
+} // namespace kumquat
+
+MSGPACK_ADD_ENUM(kumquat::RecordType);
+
+namespace kumquat {
+
+namespace {
+
+struct LogRecord
+{
+    RecordType type = RecordType::hardState;
+    HardState hardState;
+    LogEntry entry;
+    MSGPACK_DEFINE(type, hardState, entry)
+};
+
+std::string recordOf(const HardState &hardState)
+{
+    LogRecord record;
+    record.hardState = hardState;
+    return frameRecord(pack(record));
+}
+
+std::string recordOf(const LogEntry &entry)
+{
+    LogRecord record;
+    record.type = RecordType::entry;
+    record.entry = entry;
+    return frameRecord(pack(record));
+}
+
+template <typename Message>
+bool readSingle(const std::string &content, Message &message)
+{
+    const RecordFileContent file = readRecords(content);
+    if (file.records.size() != 1) {
+        return false;
+    }
+    auto read = unpack<Message>(file.records[0]);
+    if (read.ok()) {
+        message = std::move(*read);
+    }
+    return read.ok();
+}
+
+// Puts a record on top of what earlier records said; false on a gap.
+bool replay(const LogRecord &record, StoredState &state)
+{
+    if (record.type == RecordType::hardState) {
+        state.hardState = record.hardState;
+        return true;
+    }
+    const std::uint64_t first = state.snapshot.index + 1;
+    const std::uint64_t index = record.entry.index;
+    if (index < first) {
+        return true;
+    }
+    if (index > first + state.entries.size()) {
+        return false;
+    }
+    state.entries.resize(index - first);
+    state.entries.push_back(record.entry);
+    return true;
+}
+
+StoredState damagedState()
+{
+    StoredState state;
+    state.damaged = true;
+    return state;
+}
+
+} // namespace
+
+absl::StatusOr<StoredState> LogStore::load()
+{
+    StoredState state;
+    const auto identity = disk_.read(identityFile);
+    const auto log = disk_.read(logFile);
+    if (!identity) {
+        state.damaged = log.has_value();
+        return state;
+    }
+    if (!log || !readSingle(*identity, state.identity)) {
+        return damagedState();
+    }
+    const auto snapshot = disk_.read(snapshotFile);
+    if (snapshot && !readSingle(*snapshot, state.snapshot)) {
+        return damagedState();
+    }
+    const RecordFileContent file = readRecords(*log);
+    if (file.damaged || file.records.empty()) {
+        return damagedState();
+    }
+    for (const std::string &bytes : file.records) {
+        const auto record = unpack<LogRecord>(bytes);
+        if (!record.ok() || !replay(*record, state)) {
+            return damagedState();
+        }
+    }
+    if (file.goodBytes < log->size()) {
+        const absl::Status cut = disk_.replace(logFile, log->substr(0, file.goodBytes));
+        if (!cut.ok()) {
+            return cut;
+        }
+    }
+    return state;
+}
+
+absl::Status LogStore::create(MemberId identity)
+{
+    // The log goes first: an identity on disk promises that its log is there.
+    absl::Status status = disk_.replace(snapshotFile, frameRecord(pack(LogSnapshot())));
+    status.Update(disk_.replace(logFile, recordOf(HardState())));
+    status.Update(disk_.replace(identityFile, frameRecord(pack(identity))));
+    return status;
+}
+
+absl::Status LogStore::write(const std::string &bytes)
+{
+    absl::Status status = disk_.append(logFile, bytes);
+    if (status.ok()) {
+        status = disk_.sync(logFile);
+    }
+    ++syncs_;
+    bytesWritten_ += bytes.size();
+    return status;
+}
+
+absl::Status LogStore::append(const HardState *hardState, const std::vector<LogEntry> &entries)
+{
+    std::string bytes;
+    if (hardState != nullptr) {
+        bytes += recordOf(*hardState);
+    }
+    for (const LogEntry &entry : entries) {
+        bytes += recordOf(entry);
+    }
+    return write(bytes);
+}
+
+absl::Status LogStore::replace(const LogSnapshot &snapshot, const HardState &hardState,
+                               const std::vector<LogEntry> &entries)
+{
+    std::string bytes = recordOf(hardState);
+    for (const LogEntry &entry : entries) {
+        bytes += recordOf(entry);
+    }
+    // Between the two steps the old log still follows the new snapshot without a gap.
+    absl::Status status = disk_.replace(snapshotFile, frameRecord(pack(snapshot)));
+    if (status.ok()) {
+        status = disk_.replace(logFile, bytes);
+    }
+    syncs_ += 2;
+    bytesWritten_ += bytes.size();
+    return status;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/state/OnceRecords.cpp
@@ -0,0 +1,104 @@
+#include "state/OnceRecords.h"
+
+namespace kumquat {
+
+const char *oncePhaseName(OncePhase phase)
+{
+    static const char *const names[] = { "claimed", "done", "unknown" };
+    return names[static_cast<int>(phase)];
+}
+
+const OnceRecord *OnceRecords::find(const OnceScope &scope) const
+{
+    const auto found = records_.find(scope);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+OnceReply OnceRecords::claim(const OnceRequest &request, std::size_t capacity,
+                             std::chrono::milliseconds now)
+{
+    if (released_.count(request.attempt) > 0) {
+        return { OnceVerdict::pending, {} };
+    }
+    const OnceScope scope { request.service, request.key };
+    const auto found = records_.find(scope);
+    if (found == records_.end()) {
+        if (records_.size() >= capacity) {
+            return { OnceVerdict::full, {} };
+        }
+        OnceRecord record;
+        record.attempt = request.attempt;
+        record.fingerprint = request.fingerprint;
+        record.claimedAtMs = now.count();
+        records_.emplace(scope, std::move(record));
+        return { OnceVerdict::granted, {} };
+    }
+    const OnceRecord &record = found->second;
+    if (record.fingerprint != request.fingerprint) {
+        return { OnceVerdict::mismatch, {} };
+    }
+    switch (record.phase) {
+    case OncePhase::claimed:
+        // The same attempt asks again when the answer to its claim was lost.
+        return { record.attempt == request.attempt ? OnceVerdict::granted : OnceVerdict::pending,
+                 {} };
+    case OncePhase::done:
+        return { OnceVerdict::done, record.answer };
+    case OncePhase::unknown:
+        return { OnceVerdict::unknown, {} };
+    }
+    return { OnceVerdict::unknown, {} };
+}
+
+void OnceRecords::rememberRelease(std::uint64_t attempt)
+{
+    if (!released_.emplace(attempt, true).second) {
+        return;
+    }
+    releaseOrder_.push_back(attempt);
+    if (releaseOrder_.size() > 2 * keptReleases) {
+        for (std::size_t i = 0; i < keptReleases; ++i) {
+            released_.erase(releaseOrder_[i]);
+        }
+        releaseOrder_.erase(releaseOrder_.begin(),
+                            releaseOrder_.begin() + static_cast<std::ptrdiff_t>(keptReleases));
+    }
+}
+
+OnceReply OnceRecords::apply(const OnceRequest &request, std::size_t capacity,
+                             std::chrono::milliseconds now)
+{
+    if (request.operation == OnceOperation::claim) {
+        return claim(request, capacity, now);
+    }
+    const auto found = records_.find({ request.service, request.key });
+    const bool owned = found != records_.end() && found->second.attempt == request.attempt
+        && found->second.phase == OncePhase::claimed;
+    if (request.operation == OnceOperation::release) {
+        rememberRelease(request.attempt);
+        if (owned) {
+            records_.erase(found);
+        }
+    } else if (owned) {
+        const bool complete = request.operation == OnceOperation::complete;
+        found->second.phase = complete ? OncePhase::done : OncePhase::unknown;
+        found->second.answer = request.answer;
+    }
+    return { OnceVerdict::accepted, {} };
+}
+
+std::size_t OnceRecords::expire(std::chrono::milliseconds time)
+{
+    std::size_t dropped = 0;
+    for (auto record = records_.begin(); record != records_.end();) {
+        if (record->second.claimedAtMs < time.count()) {
+            record = records_.erase(record);
+            ++dropped;
+        } else {
+            ++record;
+        }
+    }
+    return dropped;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/state/OnceRecords.h
@@ -0,0 +1,68 @@
+#pragma once
+/// \file
+/// Holds a record for each key of a once-request: who claimed it and how it ended.
+/// It is a deterministic state of the replicated log; a key is granted to one attempt only.
+
+#include "protocol/OnceMessages.h"
+
+#include <chrono>
+#include <map>
+
+namespace kumquat {
+
+enum class OncePhase { claimed, done, unknown };
+
+struct OnceRecord
+{
+    OncePhase phase = OncePhase::claimed;
+    std::uint64_t attempt = 0; ///< the one that the key was granted to
+    std::uint64_t fingerprint = 0;
+    std::int64_t claimedAtMs = 0; ///< wall time of the leader that took the claim
+    OnceAnswer answer;
+    MSGPACK_DEFINE(phase, attempt, fingerprint, claimedAtMs, answer)
+};
+
+struct OnceScope
+{
+    std::string service;
+    std::string key;
+    MSGPACK_DEFINE(service, key)
+    bool operator<(const OnceScope &other) const
+    {
+        return service != other.service ? service < other.service : key < other.key;
+    }
+};
+
+class OnceRecords
+{
+public:
+    /// Attempts whose release is remembered, so that a late copy of their claim grants nothing.
+    static constexpr std::size_t keptReleases = 10'000;
+
+    /// \p capacity bounds the records; \p now is the leader's wall time, from the log.
+    OnceReply apply(const OnceRequest &request, std::size_t capacity,
+                    std::chrono::milliseconds now);
+
+    /// Drops records claimed before \p time; returns how many.
+    std::size_t expire(std::chrono::milliseconds time);
+
+    const OnceRecord *find(const OnceScope &scope) const;
+    std::size_t size() const { return records_.size(); }
+
+    MSGPACK_DEFINE(records_, released_, releaseOrder_)
+
+private:
+    OnceReply claim(const OnceRequest &request, std::size_t capacity,
+                    std::chrono::milliseconds now);
+    void rememberRelease(std::uint64_t attempt);
+
+    std::map<OnceScope, OnceRecord> records_;
+    std::map<std::uint64_t, bool> released_;
+    std::vector<std::uint64_t> releaseOrder_;
+};
+
+const char *oncePhaseName(OncePhase phase);
+
+} // namespace kumquat
+
+MSGPACK_ADD_ENUM(kumquat::OncePhase);
--- /dev/null
+++ b/src/transport/AsioImpl.cpp
@@ -0,0 +1,3 @@
+// Compiles Asio and Beast once for the whole library (see BOOST_ASIO_SEPARATE_COMPILATION).
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/src/transport/Authenticator.h
@@ -0,0 +1,53 @@
+#pragma once
+/// \file
+/// Signs and checks what the system's own processes send one another.
+/// A tag holds the sender's wall time, a nonce and an HMAC-SHA256 under the cluster's key.
+
+#include "common/Random.h"
+#include "common/Time.h"
+
+#include <absl/status/status.h>
+#include <functional>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace kumquat {
+
+class Authenticator
+{
+public:
+    using WallNow = std::function<Milliseconds()>;
+
+    /// A message older or newer than the window is refused, one inside it is taken once.
+    static constexpr Milliseconds replayWindow { 30'000 };
+
+    explicit Authenticator(std::string key, WallNow wallNow = wallTime);
+
+    /// The tag for \p message: "time.nonce.hmac", in text.
+    std::string sign(const std::string &message);
+
+    /// Fails with ErrorKind::notAuthentic on a wrong key, an old message or a replay.
+    absl::Status verify(const std::string &tag, const std::string &message);
+
+private:
+    struct Seen
+    {
+        std::int64_t time;
+        std::string nonce;
+        bool operator<(const Seen &other) const
+        {
+            return time != other.time ? time < other.time : nonce < other.nonce;
+        }
+    };
+
+    std::string digest(const std::string &prefix, const std::string &message) const;
+
+    const std::string key_;
+    const WallNow wallNow_;
+    std::mutex mutex_;
+    Random random_;
+    std::set<Seen> seen_;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/transport/DatagramSocket.cpp
@@ -0,0 +1,78 @@
+#include "transport/DatagramSocket.h"
+
+#include "kumquat/Error.h"
+#include "kumquat/Event.h"
+
+namespace kumquat {
+
+namespace {
+
+constexpr std::size_t receiveBytes = 64 * 1024;
+
+} // namespace
+
+DatagramSocket::DatagramSocket(asio::io_context &context,
+                               std::shared_ptr<Authenticator> authenticator) :
+    socket_(context), authenticator_(std::move(authenticator)), buffer_(receiveBytes)
+{
+}
+
+absl::Status DatagramSocket::open(const Address &address, Receiver receiver)
+{
+    receiver_ = std::move(receiver);
+    ErrorCode error;
+    socket_.open(asio::ip::udp::v4(), error);
+    socket_.bind(address.udp(), error);
+    if (error) {
+        return makeError(ErrorKind::badSettings,
+                         "cannot bind " + address.text() + ": " + error.message(),
+                         "choose a free gossip address of this instance");
+    }
+    socket_.non_blocking(true, error);
+    receive();
+    return absl::OkStatus();
+}
+
+void DatagramSocket::send(const Address &address, const std::string &payload)
+{
+    const std::string datagram = authenticator_->sign(payload) + "\n" + payload;
+    ErrorCode ignored;
+    // A full socket buffer drops the datagram; gossip repairs itself as after any loss.
+    sentBytes_ += socket_.send_to(asio::buffer(datagram), address.udp(), 0, ignored);
+}
+
+void DatagramSocket::close()
+{
+    ErrorCode ignored;
+    socket_.close(ignored);
+}
+
+void DatagramSocket::receive()
+{
+    socket_.async_receive(asio::buffer(buffer_), [this](ErrorCode error, std::size_t length) {
+        if (!socket_.is_open()) {
+            return;
+        }
+        if (!error) {
+            take(length);
+        }
+        receive();
+    });
+}
+
+void DatagramSocket::take(std::size_t length)
+{
+    const std::string datagram(buffer_.data(), length);
+    const auto end = datagram.find('\n');
+    const std::string payload = end == std::string::npos ? "" : datagram.substr(end + 1);
+    const absl::Status status = authenticator_->verify(datagram.substr(0, end), payload);
+    if (!status.ok()) {
+        if (refused_++ == 0) {
+            logEvent(Event::badDatagram, LogLevel::warning, "{}", std::string(status.message()));
+        }
+        return;
+    }
+    receiver_(payload);
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/transport/DatagramSocket.h
@@ -0,0 +1,40 @@
+#pragma once
+/// \file
+/// Sends and receives the signed datagrams that entries exchange.
+/// What does not verify is counted and dropped.
+
+#include "transport/Address.h"
+#include "transport/Authenticator.h"
+
+namespace kumquat {
+
+class DatagramSocket
+{
+public:
+    using Receiver = std::function<void(const std::string &payload)>;
+
+    /// The largest payload that fits a datagram of common Ethernet size with its tag.
+    static constexpr std::size_t maxPayloadBytes = 1200;
+
+    DatagramSocket(asio::io_context &context, std::shared_ptr<Authenticator> authenticator);
+
+    absl::Status open(const Address &address, Receiver receiver);
+    void send(const Address &address, const std::string &payload);
+    void close();
+
+    std::uint64_t sentBytes() const { return sentBytes_; }
+    std::uint64_t refused() const { return refused_; }
+
+private:
+    void receive();
+    void take(std::size_t length);
+
+    asio::ip::udp::socket socket_;
+    std::shared_ptr<Authenticator> authenticator_;
+    Receiver receiver_;
+    std::vector<char> buffer_;
+    std::atomic<std::uint64_t> sentBytes_ { 0 };
+    std::atomic<std::uint64_t> refused_ { 0 };
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/transport/HttpClient.cpp
@@ -0,0 +1,105 @@
+#include "transport/HttpClient.h"
+
+#include "kumquat/Error.h"
+
+namespace kumquat {
+
+namespace {
+
+// An idle connection may be dead without a sign, so only a recently used one is trusted.
+constexpr Milliseconds maxIdleTime { 1'000 };
+
+} // namespace
+
+std::string signedText(const HttpRequest &request)
+{
+    std::string text(request.method_string());
+    text += ' ';
+    text += std::string(request.target());
+    text += '\n';
+    return text + request.body();
+}
+
+absl::Status verifyRequest(Authenticator &authenticator, const HttpRequest &request)
+{
+    return authenticator.verify(std::string(request[authHeader]), signedText(request));
+}
+
+HttpClient::HttpClient(asio::io_context &context, std::shared_ptr<Authenticator> authenticator) :
+    context_(context), authenticator_(std::move(authenticator))
+{
+}
+
+std::unique_ptr<HttpClient::Connection> HttpClient::takeIdle(const Address &address)
+{
+    auto &stack = idle_[address];
+    std::unique_ptr<Connection> taken;
+    while (!stack.empty() && !taken) {
+        taken = std::move(stack.back());
+        stack.pop_back();
+        if (Clock::now() - taken->idleSince > maxIdleTime) {
+            taken.reset();
+        }
+    }
+    return taken;
+}
+
+ErrorCode HttpClient::exchange(Connection &connection, const HttpRequest &request,
+                               HttpResponse &response, Yield yield)
+{
+    ErrorCode error;
+    http::async_write(connection.stream, request, yield[error]);
+    if (!error) {
+        http::async_read(connection.stream, connection.buffer, response, yield[error]);
+    }
+    return error;
+}
+
+absl::StatusOr<HttpResponse> HttpClient::post(const Address &address, const std::string &path,
+                                              std::string body, Milliseconds timeout, Yield yield)
+{
+    HttpRequest request(http::verb::post, path, 11);
+    request.body() = std::move(body);
+    return send(address, std::move(request), timeout, yield);
+}
+
+absl::StatusOr<HttpResponse> HttpClient::send(const Address &address, HttpRequest request,
+                                              Milliseconds timeout, Yield yield)
+{
+    request.set(http::field::host, address.text());
+    request.keep_alive(true);
+    request.prepare_payload();
+    if (authenticator_) {
+        request.set(authHeader, authenticator_->sign(signedText(request)));
+    }
+    const TimePoint deadline = Clock::now() + timeout;
+    auto connection = takeIdle(address);
+    ErrorCode error;
+    if (!connection) {
+        connection = std::make_unique<Connection>(context_);
+        connection->stream.expires_at(deadline);
+        connection->stream.async_connect(address.tcp(), yield[error]);
+        if (!error) {
+            connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+        }
+    }
+    HttpResponse response;
+    if (!error) {
+        connection->stream.expires_at(deadline);
+        error = exchange(*connection, request, response, yield);
+    }
+    if (error) {
+        const bool late = error == beast::error::timeout;
+        return makeError(late ? ErrorKind::timedOut : ErrorKind::unavailable,
+                         "no answer from " + address.text() + ": " + error.message(),
+                         "see whether that process runs and can be reached");
+    }
+    connection->stream.expires_never();
+    if (response.keep_alive()) {
+        connection->idleSince = Clock::now();
+        idle_[address].push_back(std::move(connection));
+    }
+    return response;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/transport/HttpClient.h
@@ -0,0 +1,55 @@
+#pragma once
+/// \file
+/// Defines the HTTP client by which the system's processes call one another's internal ports.
+/// One object serves one event loop; it keeps idle connections and signs each request.
+
+#include "transport/Authenticator.h"
+#include "transport/HttpServer.h"
+
+#include <absl/status/statusor.h>
+#include <map>
+
+namespace kumquat {
+
+class HttpClient
+{
+public:
+    /// \p authenticator may be null; then requests go unsigned.
+    HttpClient(asio::io_context &context, std::shared_ptr<Authenticator> authenticator);
+
+    /// Sends \p body to \p path. Fails with ErrorKind::unavailable or ErrorKind::timedOut; after
+    /// either, the peer may still have acted on it.
+    absl::StatusOr<HttpResponse> post(const Address &address, const std::string &path,
+                                      std::string body, Milliseconds timeout, Yield yield);
+
+    absl::StatusOr<HttpResponse> send(const Address &address, HttpRequest request,
+                                      Milliseconds timeout, Yield yield);
+
+private:
+    struct Connection
+    {
+        explicit Connection(asio::io_context &context) : stream(context) { }
+        TcpStream stream;
+        beast::flat_buffer buffer;
+        TimePoint idleSince {};
+    };
+
+    std::unique_ptr<Connection> takeIdle(const Address &address);
+    ErrorCode exchange(Connection &connection, const HttpRequest &request, HttpResponse &response,
+                       Yield yield);
+
+    asio::io_context &context_;
+    std::shared_ptr<Authenticator> authenticator_;
+    std::map<Address, std::vector<std::unique_ptr<Connection>>> idle_;
+};
+
+/// The header that carries the Authenticator's tag.
+constexpr char authHeader[] = "Kumquat-Auth";
+
+/// The text a request's tag covers: method, path and body.
+std::string signedText(const HttpRequest &request);
+
+/// Checks the request's tag; fails with ErrorKind::notAuthentic.
+absl::Status verifyRequest(Authenticator &authenticator, const HttpRequest &request);
+
+} // namespace kumquat
--- /dev/null
+++ b/src/transport/HttpServer.h
@@ -0,0 +1,49 @@
+#pragma once
+/// \file
+/// Defines the small HTTP server behind every process's internal port.
+/// It serves whole, bounded messages; callers' traffic goes through protocol/CallerSession instead.
+
+#include "transport/Address.h"
+#include "transport/Asio.h"
+
+#include <absl/status/status.h>
+#include <set>
+
+namespace kumquat {
+
+using HttpRequest = http::request<http::string_body>;
+using HttpResponse = http::response<http::string_body>;
+
+/// Answers one request; may wait through the yield context.
+using HttpHandler = std::function<HttpResponse(const HttpRequest &, Yield)>;
+
+HttpResponse textResponse(http::status status, std::string body,
+                          const char *contentType = "application/json");
+
+/// Opens a listening socket; fails with ErrorKind::badSettings when the address cannot be had.
+/// With \p sharedPort several threads may each listen on the same address.
+absl::Status openAcceptor(asio::ip::tcp::acceptor &acceptor, const Address &address,
+                          bool sharedPort);
+
+class HttpServer : public std::enable_shared_from_this<HttpServer>
+{
+public:
+    HttpServer(asio::io_context &context, HttpHandler handler);
+
+    absl::Status listen(const Address &address);
+
+    /// Stops accepting and closes connections that wait for a request.
+    void stop();
+
+private:
+    void accept(Yield yield);
+    void serve(const std::shared_ptr<TcpStream> &stream, Yield yield);
+
+    asio::io_context &context_;
+    HttpHandler handler_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::set<std::shared_ptr<TcpStream>> idle_;
+    bool stopping_ = false;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/transport/JsonRpcCall.cpp
@@ -0,0 +1,46 @@
+#include "transport/JsonRpcCall.h"
+
+#include <json/json.h>
+#include <jsonrpccpp/client.h>
+
+namespace kumquat {
+
+namespace {
+
+class Connector : public jsonrpc::IClientConnector
+{
+public:
+    explicit Connector(const JsonRpcCarrier &carrier) : carrier_(carrier) { }
+
+    void SendRPCMessage(const std::string &message,
+                        std::string &result) throw(jsonrpc::JsonRpcException) override
+    {
+        result = carrier_(message);
+    }
+
+private:
+    const JsonRpcCarrier &carrier_;
+};
+
+} // namespace
+
+JsonRpcOutcome callJsonRpc(const JsonRpcCarrier &carrier, const std::string &method,
+                           const std::string &parameters)
+{
+    JsonRpcOutcome outcome;
+    Json::Value value;
+    Json::Reader reader;
+    reader.parse(parameters, value);
+    Connector connector(carrier);
+    jsonrpc::Client client(connector);
+    try {
+        Json::FastWriter writer;
+        outcome.result = writer.write(client.CallMethod(method, value));
+        outcome.ok = true;
+    } catch (const jsonrpc::JsonRpcException &exception) {
+        outcome.error = exception.GetMessage();
+    }
+    return outcome;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/transport/JsonRpcCall.h
@@ -0,0 +1,25 @@
+#pragma once
+/// \file
+/// Makes one JSON-RPC call through libjson-rpc-cpp's client.
+/// The header is plain C++14, since that client's own headers do not compile as C++17.
+
+#include <functional>
+#include <string>
+
+namespace kumquat {
+
+/// Carries a JSON-RPC message to the server and returns its answer; empty when there was none.
+using JsonRpcCarrier = std::function<std::string(const std::string &message)>;
+
+struct JsonRpcOutcome
+{
+    bool ok = false;
+    std::string result; ///< JSON, when ok
+    std::string error; ///< a message for the operator, otherwise
+};
+
+/// \p parameters is a JSON object in text.
+JsonRpcOutcome callJsonRpc(const JsonRpcCarrier &carrier, const std::string &method,
+                           const std::string &parameters);
+
+} // namespace kumquat
--- /dev/null
+++ b/src/transport/Spawn.h
@@ -0,0 +1,27 @@
+#pragma once
+/// \file
+/// Starts coroutines on an event loop with the stack size that the library's code needs.
+
+#include "transport/Asio.h"
+
+namespace kumquat {
+
+constexpr std::size_t coroutineStackBytes = 128 * 1024;
+
+template <typename Function>
+void spawnOn(asio::io_context &context, Function &&function)
+{
+    asio::spawn(context, std::forward<Function>(function),
+                boost::coroutines::attributes(coroutineStackBytes));
+}
+
+/// Suspends the coroutine for \p duration.
+template <typename Duration>
+void pauseFor(asio::io_context &context, Duration duration, Yield yield)
+{
+    asio::steady_timer timer(context, duration);
+    ErrorCode ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/test/failure/ControlGroupFuzz.cpp
@@ -0,0 +1,145 @@
+// Random faults against a control group; the oracle in GroupWorld watches what it answers.
+#include "failure/GroupWorld.h"
+
+#include <absl/strings/str_cat.h>
+
+using namespace kumquat;
+using namespace kumquat::test;
+
+namespace {
+
+void act(GroupWorld &world, Random &random, int step)
+{
+    const int members = world.size();
+    const int some = static_cast<int>(randomBelow(random, static_cast<std::size_t>(members)));
+    const int other = static_cast<int>(randomBelow(random, static_cast<std::size_t>(members)));
+    const int key = static_cast<int>(randomBelow(random, 6));
+    const std::uint64_t attempt = 1 + randomBelow(random, 40);
+    switch (randomBelow(random, 16)) {
+    case 0:
+        world.crash(some);
+        break;
+    case 1:
+        world.restart(some);
+        break;
+    case 2:
+        world.loseDisk(some);
+        break;
+    case 3:
+        world.cut(some, other, true);
+        break;
+    case 4:
+        world.cut(some, other, true);
+        world.cut(other, some, true);
+        break;
+    case 5:
+        world.healAll();
+        break;
+    case 6:
+        world.freeze(some, randomBelow(random, 2) == 0);
+        break;
+    case 7:
+        world.crashAtDiskStep(some, static_cast<int>(randomBelow(random, 4)));
+        break;
+    case 8:
+        world.release(key, 100 * static_cast<std::uint64_t>(key) + attempt, some);
+        break;
+    case 9:
+        world.complete(key, 100 * static_cast<std::uint64_t>(key) + attempt, some);
+        break;
+    default:
+        break;
+    }
+    // Operators with equal numbers, at the same moment, through different members; some resend.
+    for (int member = 0; member < members; ++member) {
+        const int id = step - static_cast<int>(randomBelow(random, 3));
+        world.change(absl::StrCat("change-", id, "-", member), world.highestAccepted(), member);
+        world.claim(key, 100 * static_cast<std::uint64_t>(key) + 1 + randomBelow(random, 40),
+                    member);
+        world.readVersion(member);
+    }
+    world.run(Milliseconds(20 + static_cast<int>(randomBelow(random, 900))));
+}
+
+std::string violationOf(WorldOptions options, int steps)
+{
+    GroupWorld world(options);
+    Random random(options.seed * 7'919);
+    for (int step = 0; step < steps && !world.violated(); ++step) {
+        act(world, random, step);
+    }
+    world.healAll();
+    world.run(Seconds(30));
+    if (!world.violated()) {
+        world.checkSettled();
+    }
+    return world.violation();
+}
+
+// The first violation among many seeds, or an empty text.
+std::string firstViolation(WorldOptions options, std::uint64_t seeds, int steps)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        options.seed = seed;
+        const std::string violation = violationOf(options, steps);
+        if (!violation.empty()) {
+            return violation;
+        }
+    }
+    return "";
+}
+
+} // namespace
+
+TEST_GROUP(ControlGroupFuzz) {};
+
+TEST(ControlGroupFuzz, KeepsEveryPromiseUnderFaults)
+{
+    const std::string violation = firstViolation(WorldOptions(), 60, 60);
+    STRCMP_EQUAL("", violation.c_str());
+}
+
+TEST(ControlGroupFuzz, KeepsEveryPromiseWithFiveMembers)
+{
+    WorldOptions options;
+    options.members = 5;
+    const std::string violation = firstViolation(options, 20, 50);
+    STRCMP_EQUAL("", violation.c_str());
+}
+
+TEST(ControlGroupFuzz, IsCaughtWhenSyncsAreIgnored)
+{
+    WorldOptions options;
+    options.ignoreSyncs = true;
+    CHECK_FALSE(firstViolation(options, 60, 60).empty());
+}
+
+TEST(ControlGroupFuzz, IsCaughtWhenALostDiskKeepsItsIdentity)
+{
+    WorldOptions options;
+    options.keepIdentity = true;
+    CHECK_FALSE(firstViolation(options, 200, 60).empty());
+}
+
+TEST(ControlGroupFuzz, RepairsASecondLostDiskRightAfterTheFirst)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        WorldOptions options;
+        options.seed = seed;
+        GroupWorld world(options);
+        for (int round = 0; round < 6 && !world.violated(); ++round) {
+            world.change(absl::StrCat("change-", round), world.highestAccepted(), 0);
+            world.change(absl::StrCat("change-", round), world.highestAccepted(), 1);
+            world.change(absl::StrCat("change-", round), world.highestAccepted(), 2);
+            world.run(Milliseconds(300));
+            CHECK(world.isWhole());
+            world.loseDisk(round % 3);
+            for (int wait = 0; wait < 200 && !world.isWhole(); ++wait) {
+                world.run(Milliseconds(50));
+            }
+        }
+        world.checkSettled();
+        STRCMP_EQUAL("", world.violation().c_str());
+        CHECK(world.acceptedChanges() >= 5);
+    }
+}
--- /dev/null
+++ b/test/failure/GroupWorld.cpp
@@ -0,0 +1,405 @@
+#include "failure/GroupWorld.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace kumquat::test {
+
+namespace {
+
+constexpr Milliseconds tickInterval { 20 };
+
+std::string addressOf(int member)
+{
+    return absl::StrCat("member-", member);
+}
+
+OnceRequest onceRequest(OnceOperation operation, int key, std::uint64_t attempt)
+{
+    OnceRequest request;
+    request.operation = operation;
+    request.service = "orders";
+    request.key = absl::StrCat("key-", key);
+    request.attempt = attempt;
+    return request;
+}
+
+} // namespace
+
+// The disk.
+
+bool FaultyDisk::step()
+{
+    if (operationsLeft_ < 0) {
+        return true;
+    }
+    return operationsLeft_-- > 0;
+}
+
+Disk FaultyDisk::hooks()
+{
+    const auto crashed = [] { return makeError(ErrorKind::storageFailed, "crash", "restart"); };
+    Disk disk;
+    disk.read = [this](const std::string &name) {
+        const auto found = files_.find(name);
+        return found == files_.end() ? std::nullopt
+                                     : std::optional<std::string>(found->second.written);
+    };
+    disk.append = [this, crashed](const std::string &name, const std::string &bytes) {
+        files_[name].written += bytes;
+        return step() ? absl::OkStatus() : crashed();
+    };
+    disk.sync = [this, crashed](const std::string &name) {
+        if (!step()) {
+            return crashed();
+        }
+        if (!ignoresSyncs_) {
+            files_[name].synced = files_[name].written;
+        }
+        return absl::OkStatus();
+    };
+    disk.replace = [this, crashed](const std::string &name, const std::string &bytes) {
+        if (!step()) {
+            return crashed();
+        }
+        files_[name] = { bytes, bytes };
+        return absl::OkStatus();
+    };
+    return disk;
+}
+
+void FaultyDisk::crash(Random &random)
+{
+    operationsLeft_ = -1;
+    for (auto &entry : files_) {
+        File &file = entry.second;
+        // Some of the unsynced tail may have reached the platter, and be torn.
+        const std::size_t unsynced = file.written.size() - file.synced.size();
+        const std::size_t kept = ignoresSyncs_ ? 0 : randomBelow(random, unsynced + 1);
+        file.written.resize(file.synced.size() + kept);
+        file.synced = file.written;
+    }
+}
+
+void FaultyDisk::loseAllButIdentity()
+{
+    const File identity = files_["identity"];
+    files_.clear();
+    LogStore store(hooks());
+    (void)store.create(1);
+    files_["identity"] = identity;
+}
+
+// The world.
+
+GroupWorld::GroupWorld(WorldOptions options) :
+    options_(options), random_(options.seed), members_(static_cast<std::size_t>(options.members))
+{
+    for (int member = 0; member < options_.members; ++member) {
+        if (options_.ignoreSyncs) {
+            members_[static_cast<std::size_t>(member)].disk.ignoreSyncs();
+        }
+        start(member);
+    }
+    (void)node(0)->form();
+    run(Seconds(5));
+}
+
+void GroupWorld::at(Clock::duration delay, std::function<void()> action)
+{
+    events_.push({ now_ + delay, order_++, std::move(action) });
+}
+
+void GroupWorld::toMember(int index, int generation, std::function<void()> action)
+{
+    Member &member = members_[static_cast<std::size_t>(index)];
+    if (member.generation != generation || !member.node) {
+        return;
+    }
+    if (member.frozen) {
+        member.heldBack.push_back(
+            [this, index, generation, action] { toMember(index, generation, action); });
+        return;
+    }
+    action();
+}
+
+void GroupWorld::start(int index)
+{
+    Member &member = members_[static_cast<std::size_t>(index)];
+    const int generation = ++member.generation;
+    GroupNodeOptions options;
+    options.name = absl::StrCat("control-", index);
+    options.address = addressOf(index);
+    options.seed = random_();
+    options.snapshotEvery = options_.snapshotEvery;
+    options.onceCapacity = 1'000;
+    for (int other = 0; other < options_.members; ++other) {
+        if (other != index) {
+            options.peerAddresses.push_back(addressOf(other));
+        }
+    }
+    GroupNodeHooks hooks;
+    hooks.now = [this] { return now_; };
+    hooks.wallNow = [this] {
+        return std::chrono::duration_cast<Milliseconds>(now_.time_since_epoch());
+    };
+    hooks.send = [this, index](const std::string &to, const RaftMessage &message) {
+        deliver(index, to, message);
+    };
+    hooks.applied = [] {};
+    hooks.storeFailed = [this, index, generation](const absl::Status &) {
+        at(Milliseconds(0), [this, index, generation] {
+            toMember(index, generation, [this, index] { crash(index); });
+        });
+    };
+    hooks.runStore = [this, index, generation](std::function<absl::Status()> work,
+                                               std::function<void(absl::Status)> done) {
+        const Microseconds delay(100 + static_cast<int>(randomBelow(random_, 3'000)));
+        at(delay, [this, index, generation, work, done] {
+            toMember(index, generation, [work, done] { done(work()); });
+        });
+    };
+    member.node = std::make_unique<GroupNode>(options, member.disk.hooks(), hooks);
+    const absl::Status started = member.node->start();
+    if (!started.ok()) {
+        violate(std::string(started.message()));
+    }
+    const auto tick = std::make_shared<std::function<void()>>();
+    *tick = [this, index, generation, tick] {
+        toMember(index, generation, [this, index, tick] {
+            node(index)->tick();
+            at(tickInterval, *tick);
+        });
+    };
+    at(tickInterval, *tick);
+}
+
+void GroupWorld::deliver(int from, const std::string &address, const RaftMessage &message)
+{
+    for (int to = 0; to < options_.members; ++to) {
+        if (addressOf(to) != address || cut_[{ from, to }]) {
+            continue;
+        }
+        std::uniform_real_distribution<double> share(0, 1);
+        int copies = share(random_) < options_.loss ? 0 : 1;
+        copies += share(random_) < options_.duplicates ? 1 : 0;
+        for (int copy = 0; copy < copies; ++copy) {
+            const Microseconds delay(200 + static_cast<int>(randomBelow(random_, 4'000)));
+            at(delay, [this, to, message] {
+                toMember(to, members_[static_cast<std::size_t>(to)].generation,
+                         [this, to, message] { node(to)->receive(message); });
+            });
+        }
+    }
+}
+
+void GroupWorld::run(Milliseconds duration)
+{
+    const TimePoint end = now_ + duration;
+    while (!events_.empty() && events_.top().at <= end && !violated()) {
+        const Timed event = events_.top();
+        events_.pop();
+        now_ = std::max(now_, event.at);
+        event.action();
+    }
+    now_ = end;
+}
+
+void GroupWorld::crash(int index)
+{
+    Member &member = members_[static_cast<std::size_t>(index)];
+    if (!member.node) {
+        return;
+    }
+    ++member.generation;
+    member.node.reset();
+    member.frozen = false;
+    member.heldBack.clear();
+    member.disk.crash(random_);
+}
+
+void GroupWorld::crashAtDiskStep(int index, int operations)
+{
+    members_[static_cast<std::size_t>(index)].disk.failAfter(operations);
+}
+
+void GroupWorld::restart(int index)
+{
+    if (!node(index)) {
+        start(index);
+    }
+}
+
+void GroupWorld::loseDisk(int index)
+{
+    if (!isWhole()) {
+        return;
+    }
+    crash(index);
+    FaultyDisk &disk = members_[static_cast<std::size_t>(index)].disk;
+    if (options_.keepIdentity) {
+        disk.loseAllButIdentity();
+    } else {
+        disk.lose();
+    }
+    start(index);
+}
+
+void GroupWorld::freeze(int index, bool frozen)
+{
+    Member &member = members_[static_cast<std::size_t>(index)];
+    member.frozen = frozen && member.node;
+    if (!frozen) {
+        const auto held = std::move(member.heldBack);
+        member.heldBack.clear();
+        for (const auto &action : held) {
+            at(Milliseconds(0), action);
+        }
+    }
+}
+
+void GroupWorld::healAll()
+{
+    cut_.clear();
+    for (int member = 0; member < options_.members; ++member) {
+        members_[static_cast<std::size_t>(member)].disk.failAfter(-1);
+        freeze(member, false);
+        restart(member);
+    }
+}
+
+bool GroupWorld::isWhole() const
+{
+    for (const Member &member : members_) {
+        if (!member.node || member.frozen || !member.node->isVoter()
+            || member.node->raft().members().size() != members_.size()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// Requests and the oracle.
+
+void GroupWorld::violate(const std::string &what)
+{
+    if (violation_.empty()) {
+        violation_ = absl::StrCat("seed ", options_.seed, ": ", what);
+    }
+}
+
+void GroupWorld::propose(int through, ControlCommand command, GroupNode::Done done)
+{
+    Member &member = members_[static_cast<std::size_t>(through)];
+    if (member.node && !member.frozen) {
+        member.node->propose(std::move(command), std::move(done));
+    }
+}
+
+void GroupWorld::change(const std::string &id, std::uint64_t base, int through)
+{
+    ControlCommand command;
+    command.change.id = id;
+    command.change.base = base;
+    command.change.writes.push_back({ absl::StrCat(id, ".json"), "{}" });
+    propose(through, command, [this, id](const absl::StatusOr<ControlResult> &result) {
+        if (!result.ok()) {
+            return;
+        }
+        const ChangeResult &change = result->change;
+        const auto known = results_.find(id);
+        if (known != results_.end() && known->second.verdict != change.verdict) {
+            violate("a resent change got another answer: " + id);
+        }
+        results_[id] = change;
+        if (change.verdict != ChangeVerdict::accepted) {
+            return;
+        }
+        const auto other = accepted_.emplace(change.number, id).first;
+        if (other->second != id) {
+            violate(absl::StrCat("version ", change.number, " was given to ", other->second,
+                                 " and to ", id));
+        }
+        highestAccepted_ = std::max(highestAccepted_, change.number);
+    });
+}
+
+void GroupWorld::noteGranted(int key, std::uint64_t attempt)
+{
+    ++grants_;
+    const auto held = holder_.emplace(key, attempt).first;
+    if (held->second != attempt && !released_[held->second]) {
+        violate(absl::StrCat("key ", key, " was granted to attempts ", held->second, " and ",
+                             attempt));
+    }
+    held->second = attempt;
+}
+
+void GroupWorld::claim(int key, std::uint64_t attempt, int through)
+{
+    ControlCommand command;
+    command.type = CommandType::once;
+    command.once = onceRequest(OnceOperation::claim, key, attempt);
+    propose(through, command, [this, key, attempt](const absl::StatusOr<ControlResult> &result) {
+        if (result.ok() && result->once.verdict == OnceVerdict::granted) {
+            noteGranted(key, attempt);
+        }
+    });
+}
+
+void GroupWorld::release(int key, std::uint64_t attempt, int through)
+{
+    // The owner never dispatches once it has begun to release.
+    released_[attempt] = true;
+    ControlCommand command;
+    command.type = CommandType::once;
+    command.once = onceRequest(OnceOperation::release, key, attempt);
+    propose(through, command, [](const absl::StatusOr<ControlResult> &) {});
+}
+
+void GroupWorld::complete(int key, std::uint64_t attempt, int through)
+{
+    ControlCommand command;
+    command.type = CommandType::once;
+    command.once = onceRequest(OnceOperation::complete, key, attempt);
+    propose(through, command, [](const absl::StatusOr<ControlResult> &) {});
+}
+
+void GroupWorld::readVersion(int through)
+{
+    Member &member = members_[static_cast<std::size_t>(through)];
+    if (!member.node || member.frozen) {
+        return;
+    }
+    const std::uint64_t before = highestAccepted_;
+    member.node->confirmRead([this, before, through](bool leads) {
+        if (leads && node(through)->state().configuration().number() < before) {
+            violate("a confirmed read went back to an older version");
+        }
+    });
+}
+
+void GroupWorld::checkSettled()
+{
+    if (!isWhole()) {
+        violate("the group is not whole again");
+        return;
+    }
+    for (int member = 0; member < options_.members; ++member) {
+        const ConfigurationHistory &history = node(member)->state().configuration();
+        if (history.number() < highestAccepted_) {
+            violate(absl::StrCat("member ", member, " has lost an accepted change"));
+        }
+        for (const auto &entry : accepted_) {
+            const ChangeResult *result = history.find(entry.second);
+            if (result == nullptr || result->number != entry.first) {
+                violate(absl::StrCat("member ", member, " forgot change ", entry.second));
+            }
+        }
+        if (node(member)->state().save() != node(0)->state().save()) {
+            violate("members differ in what they hold");
+        }
+    }
+}
+
+} // namespace kumquat::test
--- /dev/null
+++ b/test/failure/GroupWorld.h
@@ -0,0 +1,132 @@
+#pragma once
+/// \file
+/// Runs a control group on a virtual clock with faults at its hooks: disk, network, freezes.
+/// Everything follows from one seed. An oracle of plain maps watches what the group answers.
+
+#include "TestSupport.h"
+#include "coordination/GroupNode.h"
+
+#include <map>
+#include <queue>
+
+namespace kumquat::test {
+
+/// A disk whose unsynced bytes are lost, in part or whole, when its process crashes.
+class FaultyDisk
+{
+public:
+    Disk hooks();
+    void crash(Random &random);
+    void lose() { files_.clear(); }
+    /// Guard removed: sync() forgets to make anything last.
+    void ignoreSyncs() { ignoresSyncs_ = true; }
+    /// Guard removed: an empty disk keeps the identity it had.
+    void loseAllButIdentity();
+    /// The operation after \p operations more fails and crashes the process.
+    void failAfter(int operations) { operationsLeft_ = operations; }
+
+private:
+    struct File
+    {
+        std::string synced;
+        std::string written;
+    };
+    bool step();
+
+    std::map<std::string, File> files_;
+    int operationsLeft_ = -1;
+    bool ignoresSyncs_ = false;
+};
+
+struct WorldOptions
+{
+    std::uint64_t seed = 1;
+    int members = 3;
+    bool ignoreSyncs = false;
+    bool keepIdentity = false;
+    double loss = 0.02;
+    double duplicates = 0.02;
+    std::uint64_t snapshotEvery = 40;
+};
+
+class GroupWorld
+{
+public:
+    explicit GroupWorld(WorldOptions options);
+
+    // Faults.
+    void run(Milliseconds duration);
+    void crash(int member);
+    void crashAtDiskStep(int member, int operations);
+    void restart(int member);
+    /// Crashes a member and empties its disk; only when the group is whole, as an operator would.
+    void loseDisk(int member);
+    void cut(int from, int to, bool cut) { cut_[{ from, to }] = cut; }
+    void freeze(int member, bool frozen);
+    void healAll();
+
+    // Requests; each goes to whichever member leads in its own eyes.
+    void change(const std::string &id, std::uint64_t base, int through);
+    void claim(int key, std::uint64_t attempt, int through);
+    void release(int key, std::uint64_t attempt, int through);
+    void complete(int key, std::uint64_t attempt, int through);
+    void readVersion(int through);
+
+    bool isWhole() const;
+    bool violated() const { return !violation_.empty(); }
+    const std::string &violation() const { return violation_; }
+    std::uint64_t highestAccepted() const { return highestAccepted_; }
+    std::size_t acceptedChanges() const { return accepted_.size(); }
+    std::size_t grants() const { return grants_; }
+    int size() const { return options_.members; }
+    /// After healAll() and time: everyone agrees and nothing that was accepted is missing.
+    void checkSettled();
+
+private:
+    struct Member
+    {
+        FaultyDisk disk;
+        std::unique_ptr<GroupNode> node;
+        int generation = 0; ///< of the process; events of an ended one are dropped
+        bool frozen = false;
+        std::vector<std::function<void()>> heldBack; ///< by a freeze
+    };
+    struct Timed
+    {
+        TimePoint at;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator<(const Timed &other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    void at(Clock::duration delay, std::function<void()> action);
+    void toMember(int member, int generation, std::function<void()> action);
+    void deliver(int from, const std::string &address, const RaftMessage &message);
+    void start(int member);
+    GroupNode *node(int member) { return members_[static_cast<std::size_t>(member)].node.get(); }
+    void propose(int through, ControlCommand command, GroupNode::Done done);
+    void violate(const std::string &what);
+    void noteGranted(int key, std::uint64_t attempt);
+
+    WorldOptions options_;
+    Random random_;
+    TimePoint now_ { Seconds(1'000) };
+    std::priority_queue<Timed> events_;
+    std::uint64_t order_ = 0;
+    std::vector<Member> members_;
+    std::map<std::pair<int, int>, bool> cut_;
+
+    // The oracle.
+    std::string violation_;
+    std::map<std::uint64_t, std::string> accepted_; ///< change by version number
+    std::map<std::string, ChangeResult> results_;
+    std::uint64_t highestAccepted_ = 0;
+    std::map<int, std::uint64_t> holder_; ///< attempt that a key was granted to
+    std::map<std::uint64_t, bool> released_;
+    std::size_t grants_ = 0;
+};
+
+} // namespace kumquat::test
--- /dev/null
+++ b/tools/load/Caller.cpp
@@ -0,0 +1,218 @@
+#include "Caller.h"
+
+#include "protocol/Wire.h"
+#include "transport/Spawn.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+namespace kumquat::load {
+
+namespace {
+
+constexpr Milliseconds answerGrace { 1'000 };
+constexpr Milliseconds resendPause { 150 };
+constexpr std::size_t maxIdle = 64;
+
+} // namespace
+
+struct Caller::Connection
+{
+    explicit Connection(asio::io_context &context) : stream(context) { }
+    TcpStream stream;
+    beast::flat_buffer buffer;
+    TimePoint usedAt {};
+};
+
+Caller::Caller(asio::io_context &context, CallerOptions options) :
+    context_(context), options_(std::move(options)), idle_(options_.entries.size())
+{
+}
+
+Caller::~Caller() = default;
+
+void Caller::start(const std::vector<PlannedRequest> &plan)
+{
+    spawnOn(context_, [this, &plan](Yield yield) { dispatch(plan, yield); });
+}
+
+void Caller::dispatch(const std::vector<PlannedRequest> &plan, Yield yield)
+{
+    asio::steady_timer timer(context_);
+    const TimePoint begin = Clock::now();
+    for (const PlannedRequest &request : plan) {
+        const TimePoint start = begin + request.start;
+        if (start > Clock::now()) {
+            ErrorCode ignored;
+            timer.expires_at(start);
+            timer.async_wait(yield[ignored]);
+        }
+        spawnOn(context_, [this, request, start](Yield inner) { perform(request, start, inner); });
+    }
+}
+
+std::string Caller::keyOf(const PlannedRequest &request) const
+{
+    return absl::StrCat(options_.runId, "-", request.number);
+}
+
+HttpRequest Caller::build(const PlannedRequest &planned) const
+{
+    const std::string work = absl::StrCat("work=", planned.work.count(), "&n=", planned.number);
+    HttpRequest request;
+    request.version(11);
+    switch (planned.kind) {
+    case Kind::lookup:
+        request.method(http::verb::get);
+        request.target(absl::StrCat("/", planned.service, "/price?", work, "&size=2048"));
+        break;
+    case Kind::booking:
+        request.method(http::verb::post);
+        request.target(absl::StrCat("/", planned.service, "/book?", work));
+        request.set(wire::idempotencyKey, keyOf(planned));
+        request.body() = absl::StrCat("{\"deposit\":", planned.number, "}");
+        break;
+    case Kind::upload:
+        request.method(http::verb::put);
+        request.target(
+            absl::StrCat("/", planned.service, "/upload?", work, "&upload=", keyOf(planned)));
+        request.body().assign(options_.uploadBytes, 'd');
+        break;
+    }
+    request.set(http::field::host, "kumquat");
+    request.set(wire::deadline, std::to_string(options_.deadline.count()));
+    request.keep_alive(true);
+    request.prepare_payload();
+    return request;
+}
+
+Caller::Reply Caller::judge(const HttpRequest &request, const HttpResponse &response) const
+{
+    Reply reply;
+    const std::string outcome(response[wire::outcome]);
+    if (!outcome.empty() && outcome != "replayed") {
+        reply.verdict = Verdict::refused;
+        reply.notRun = outcome == "not-run";
+        reply.refusal = absl::StrCat(std::string(response[wire::reason]), "/", outcome);
+        return reply;
+    }
+    const std::string target(request.target());
+    if (response.result() != http::status::ok) {
+        reply.verdict = Verdict::failed;
+        reply.refusal = absl::StrCat("status-", response.result_int());
+    } else if (std::string(response["Standin-Echo"]) != target
+               || !absl::StrContains(response.body(), target)) {
+        reply.verdict = Verdict::wrong;
+    } else if (absl::StrContains(target, "size=2048") && response.body().size() != 2048) {
+        reply.verdict = Verdict::partial;
+    } else {
+        reply.verdict = Verdict::answered;
+    }
+    return reply;
+}
+
+std::unique_ptr<Caller::Connection> Caller::connect(std::size_t entry, ErrorCode &error,
+                                                    Yield yield)
+{
+    auto &idle = idle_[entry];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        char byte = 0;
+        const auto seen = ::recv(connection->stream.socket().native_handle(), &byte, 1,
+                                 MSG_PEEK | MSG_DONTWAIT);
+        if (seen < 0 && Clock::now() - connection->usedAt < Seconds(20)) {
+            return connection;
+        }
+    }
+    auto connection = std::make_unique<Connection>(context_);
+    connection->stream.expires_after(options_.deadline);
+    connection->stream.async_connect(options_.entries[entry].tcp(), yield[error]);
+    if (!error) {
+        connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    }
+    return connection;
+}
+
+Caller::Reply Caller::send(const PlannedRequest &planned, std::size_t entry, Yield yield)
+{
+    const HttpRequest request = build(planned);
+    ErrorCode error;
+    auto connection = connect(entry, error, yield);
+    if (error) {
+        // Nothing was sent: the platform's balancer would have chosen another entry.
+        Reply reply;
+        reply.notRun = true;
+        reply.refusal = "connect-failed";
+        return reply;
+    }
+    const Milliseconds patience
+        = planned.kind == Kind::upload ? Milliseconds(60'000) : options_.deadline + answerGrace;
+    connection->stream.expires_after(patience);
+    http::async_write(connection->stream, request, yield[error]);
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (!error || planned.kind == Kind::upload) {
+        error = {};
+        http::async_read(connection->stream, connection->buffer, parser, yield[error]);
+    }
+    if (error) {
+        return Reply {};
+    }
+    const HttpResponse response = parser.release();
+    if (response.keep_alive() && idle_[entry].size() < maxIdle) {
+        connection->usedAt = Clock::now();
+        idle_[entry].push_back(std::move(connection));
+    }
+    return judge(request, response);
+}
+
+void Caller::perform(const PlannedRequest &planned, TimePoint start, Yield yield)
+{
+    Tally &tally = tallies_[absl::StrCat(planned.service, " ", kindName(planned.kind))];
+    ++tally.sent;
+    Reply reply;
+    const int sends = planned.kind == Kind::booking ? options_.bookingSends : 1;
+    bool maybe = false;
+    for (int sent = 0; sent < sends; ++sent) {
+        const std::size_t entry = (planned.number + static_cast<std::size_t>(sent))
+            % options_.entries.size();
+        reply = send(planned, entry, yield);
+        const bool settled = reply.verdict != Verdict::broken
+            && !(reply.verdict == Verdict::refused && !reply.notRun);
+        maybe = maybe || (!settled && !reply.notRun);
+        if (settled) {
+            break;
+        }
+        pauseFor(context_, resendPause, yield);
+    }
+    switch (reply.verdict) {
+    case Verdict::answered:
+        ++tally.answered;
+        tally.latenciesMs.push_back(toMilliseconds(Clock::now() - start));
+        break;
+    case Verdict::failed:
+        ++tally.failed;
+        ++tally.refused[reply.refusal];
+        break;
+    case Verdict::refused:
+        ++tally.refused[reply.refusal];
+        break;
+    case Verdict::broken:
+        ++tally.broken;
+        break;
+    case Verdict::wrong:
+        ++tally.wrong;
+        break;
+    case Verdict::partial:
+        ++tally.partial;
+        break;
+    }
+    if (planned.kind == Kind::booking) {
+        bookings_[keyOf(planned)] = { reply.verdict == Verdict::answered, maybe };
+    } else if (planned.kind == Kind::upload) {
+        uploads_[keyOf(planned)] = reply.verdict == Verdict::answered;
+    }
+}
+
+} // namespace kumquat::load
--- /dev/null
+++ b/tools/standin/Main.cpp
@@ -0,0 +1,241 @@
+// kumquat-standin: many stand-in targets in one process, for tests and measurements only.
+// It announces each of them to the entries and renews their leases; an admin port switches faults.
+#include "StandinTarget.h"
+#include "common/JsonReader.h"
+#include "common/Program.h"
+#include "kumquat/Event.h"
+#include "protocol/Announcement.h"
+#include "protocol/Wire.h"
+#include "transport/HttpClient.h"
+#include "transport/Spawn.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(services, "catalogue:20:2,orders:10:2,drawings:6:2",
+              "services as NAME:TARGETS:SLOTS, with commas between");
+DEFINE_string(entries, "", "internal addresses of the entries, with commas between");
+DEFINE_string(domains, "a,b,c", "failure domains that the targets are spread over");
+DEFINE_int32(first_port, 20000, "port of the first target");
+DEFINE_string(admin, "127.0.0.1:19999", "address of the admin port");
+DEFINE_double(work_ms, 10, "mean work of a request, exponential");
+DEFINE_int32(lease_ms, 5000, "lease that the targets announce");
+DEFINE_uint64(seed, 1, "seed of the random numbers");
+
+namespace {
+
+using namespace kumquat;
+using namespace kumquat::standin;
+
+constexpr Milliseconds announceTime { 1'000 };
+
+class Fleet
+{
+public:
+    explicit Fleet(asio::io_context &context) : context_(context), client_(context, nullptr) { }
+
+    absl::Status build();
+    void announceAll();
+    HttpResponse handle(const HttpRequest &request, Yield yield);
+
+private:
+    absl::Status addTarget(const std::string &service, int number, int slots);
+    void keepAnnounced(StandinTarget &target, std::size_t offset, Yield yield);
+    bool announce(StandinTarget &target, std::size_t entry, Yield yield);
+    HttpResponse changeBehaviour(const std::string &name, const Json::Value &changes);
+    HttpResponse drain(const std::string &name, Yield yield);
+    Json::Value report() const;
+
+    asio::io_context &context_;
+    HttpClient client_;
+    std::vector<Address> entries_;
+    std::vector<std::unique_ptr<StandinTarget>> targets_;
+    RunLedger ledger_;
+};
+
+absl::Status Fleet::addTarget(const std::string &service, int number, int slots)
+{
+    const std::vector<std::string> domains = absl::StrSplit(FLAGS_domains, ',');
+    TargetRecord record;
+    record.name = absl::StrCat(service, "-", number);
+    record.service = service;
+    record.failureDomain = domains[static_cast<std::size_t>(number) % domains.size()];
+    record.ip = "127.0.0.1";
+    record.port = static_cast<std::uint16_t>(FLAGS_first_port + static_cast<int>(targets_.size()));
+    record.incarnation = static_cast<std::uint64_t>(wallTime().count());
+    record.state = TargetState::ready;
+    record.slots = slots;
+    record.leaseMs = FLAGS_lease_ms;
+    Behaviour behaviour;
+    behaviour.meanWorkMs = FLAGS_work_ms;
+    targets_.push_back(std::make_unique<StandinTarget>(context_, record, behaviour, ledger_,
+                                                       FLAGS_seed + targets_.size()));
+    return targets_.back()->listen();
+}
+
+absl::Status Fleet::build()
+{
+    for (const auto text : absl::StrSplit(FLAGS_entries, ',', absl::SkipEmpty())) {
+        const auto address = parseAddress(std::string(text));
+        if (!address.ok()) {
+            return address.status();
+        }
+        entries_.push_back(*address);
+    }
+    for (const auto text : absl::StrSplit(FLAGS_services, ',')) {
+        const std::vector<std::string> parts = absl::StrSplit(text, ':');
+        int count = 0;
+        int slots = 0;
+        if (parts.size() != 3 || !absl::SimpleAtoi(parts[1], &count)
+            || !absl::SimpleAtoi(parts[2], &slots)) {
+            return makeError(ErrorKind::badSettings, "--services holds '" + std::string(text) + "'",
+                             "write NAME:TARGETS:SLOTS");
+        }
+        for (int number = 0; number < count; ++number) {
+            const absl::Status added = addTarget(parts[0], number, slots);
+            if (!added.ok()) {
+                return added;
+            }
+        }
+    }
+    return absl::OkStatus();
+}
+
+bool Fleet::announce(StandinTarget &target, std::size_t entry, Yield yield)
+{
+    ++target.record().version;
+    HttpRequest request(http::verb::put, wire::targetsPath + target.record().name, 11);
+    request.body() = writeAnnouncement(target.record());
+    const auto answer = client_.send(entries_[entry % entries_.size()], std::move(request),
+                                     announceTime, yield);
+    return answer.ok() && answer->result() == http::status::ok;
+}
+
+void Fleet::keepAnnounced(StandinTarget &target, std::size_t offset, Yield yield)
+{
+    constexpr Milliseconds retryPause { 200 };
+    for (std::size_t entry = offset;; ++entry) {
+        const bool taken = announce(target, entry, yield);
+        pauseFor(context_, taken ? Milliseconds(FLAGS_lease_ms / 3) : retryPause, yield);
+    }
+}
+
+void Fleet::announceAll()
+{
+    if (entries_.empty()) {
+        return;
+    }
+    for (std::size_t i = 0; i < targets_.size(); ++i) {
+        spawnOn(context_, [this, i](Yield yield) { keepAnnounced(*targets_[i], i, yield); });
+    }
+}
+
+Json::Value Fleet::report() const
+{
+    Json::Value value;
+    for (const auto &target : targets_) {
+        Json::Value item;
+        item["inFlight"] = target->inFlight();
+        item["peak"] = target->peakInFlight();
+        item["served"] = Json::UInt64(target->served());
+        item["sheds"] = Json::UInt64(target->sheds());
+        item["probes"] = Json::UInt64(target->probes());
+        item["crashes"] = Json::UInt64(target->crashes());
+        value["targets"][target->record().name] = item;
+    }
+    value["runs"] = Json::Value(Json::objectValue);
+    for (const auto &run : ledger_.runs) {
+        value["runs"][run.first] = run.second;
+    }
+    value["uploads"] = Json::Value(Json::objectValue);
+    for (const auto &upload : ledger_.uploads) {
+        value["uploads"][upload.first] = Json::UInt64(upload.second);
+    }
+    return value;
+}
+
+// The behaviour of the targets whose names begin with `name`.
+HttpResponse Fleet::changeBehaviour(const std::string &name, const Json::Value &changes)
+{
+    int changed = 0;
+    for (const auto &target : targets_) {
+        if (target->record().name.rfind(name, 0) != 0) {
+            continue;
+        }
+        const absl::Status status = change(target->behaviour(), changes);
+        if (!status.ok()) {
+            return textResponse(http::status::bad_request, std::string(status.message()));
+        }
+        if (target->behaviour().silent) {
+            target->silenceOpenConnections();
+            target->behaviour().silent = false;
+        }
+        ++changed;
+    }
+    return textResponse(http::status::ok, absl::StrCat("{\"changed\":", changed, "}\n"));
+}
+
+HttpResponse Fleet::drain(const std::string &name, Yield yield)
+{
+    for (const auto &target : targets_) {
+        if (target->record().name == name) {
+            target->record().state = TargetState::draining;
+            for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+                if (announce(*target, entry, yield)) {
+                    return textResponse(http::status::ok, "{}\n");
+                }
+            }
+        }
+    }
+    return textResponse(http::status::not_found, "{}\n");
+}
+
+HttpResponse Fleet::handle(const HttpRequest &request, Yield yield)
+{
+    const std::vector<std::string> parts
+        = absl::StrSplit(std::string(request.target()), '/', absl::SkipEmpty());
+    if (parts.size() == 1 && parts[0] == "report") {
+        return textResponse(http::status::ok, writeJson(report()));
+    }
+    if (parts.size() == 2 && parts[0] == "drain") {
+        return drain(parts[1], yield);
+    }
+    if (parts.size() == 2 && parts[0] == "behaviour") {
+        const auto changes = parseJson("behaviour", request.body(), ErrorKind::badMessage);
+        return changes.ok() ? changeBehaviour(parts[1], *changes)
+                            : textResponse(http::status::bad_request, "not JSON\n");
+    }
+    return textResponse(http::status::not_found, "paths: /report, /behaviour/NAME, /drain/NAME\n");
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("runs stand-in targets for tests and measurements");
+    gflags::SetVersionString(KUMQUAT_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    startProgram("standin");
+    asio::io_context context { 1 };
+    Fleet fleet(context);
+    const absl::Status built = fleet.build();
+    if (!built.ok()) {
+        return failProgram(built);
+    }
+    const auto admin = std::make_shared<HttpServer>(
+        context,
+        [&fleet](const HttpRequest &request, Yield yield) { return fleet.handle(request, yield); });
+    const auto address = parseAddress(FLAGS_admin);
+    const absl::Status listening = address.ok() ? admin->listen(*address) : address.status();
+    if (!listening.ok()) {
+        return failProgram(listening);
+    }
+    fleet.announceAll();
+    onStopSignal([&context] { context.stop(); });
+    context.run();
+    stopLogging();
+    return 0;
+}
--- /dev/null
+++ b/tools/standin/StandinTarget.cpp
@@ -0,0 +1,253 @@
+#include "StandinTarget.h"
+
+#include "protocol/Wire.h"
+#include "transport/Spawn.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+namespace kumquat::standin {
+
+namespace {
+
+constexpr std::size_t partBytes = 256 * 1024;
+constexpr Seconds idleTime { 300 };
+constexpr Milliseconds restartTime { 2'000 };
+
+std::string queryValue(const std::string &target, const std::string &name)
+{
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos) {
+        return "";
+    }
+    const auto begin = at + name.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+}
+
+} // namespace
+
+StandinTarget::StandinTarget(asio::io_context &context, TargetRecord record, Behaviour behaviour,
+                             RunLedger &ledger, std::uint64_t seed) :
+    context_(context), record_(std::move(record)), behaviour_(behaviour), ledger_(ledger),
+    random_(seed), acceptor_(context)
+{
+    behaviour_.slots = record_.slots;
+    behaviour_.queue = 2 * record_.slots;
+}
+
+absl::Status StandinTarget::listen()
+{
+    const absl::Status opened = openAcceptor(acceptor_, { record_.ip, record_.port }, false);
+    if (opened.ok()) {
+        spawnOn(context_, [this](Yield yield) { accept(yield); });
+    }
+    return opened;
+}
+
+void StandinTarget::silenceOpenConnections()
+{
+    for (const auto &connection : connections_) {
+        connection->silent = true;
+    }
+}
+
+void StandinTarget::accept(Yield yield)
+{
+    while (true) {
+        asio::ip::tcp::socket socket(context_);
+        ErrorCode error;
+        acceptor_.async_accept(socket, yield[error]);
+        if (error) {
+            pauseFor(context_, Milliseconds(20), yield);
+            continue;
+        }
+        // A crashed target refuses connections; closing at once stands for that.
+        if (crashed_) {
+            socket.set_option(asio::socket_base::linger(true, 0), error);
+            continue;
+        }
+        socket.set_option(asio::ip::tcp::no_delay(true), error);
+        const auto connection = std::make_shared<Connection>(std::move(socket));
+        connections_.insert(connection);
+        spawnOn(context_, [this, connection](Yield inner) { serve(connection, inner); });
+    }
+}
+
+void StandinTarget::serve(const std::shared_ptr<Connection> &connection, Yield yield)
+{
+    while (answerOne(*connection, yield)) {
+    }
+    connections_.erase(connection);
+}
+
+bool StandinTarget::readBody(Connection &connection, Parser &parser, std::uint64_t &bytes,
+                             Yield yield)
+{
+    std::vector<char> part(parser.is_done() ? 0 : partBytes);
+    while (!parser.is_done()) {
+        parser.get().body().data = part.data();
+        parser.get().body().size = part.size();
+        ErrorCode error;
+        http::async_read_some(connection.stream, connection.buffer, parser, yield[error]);
+        if (error && error != http::error::need_buffer) {
+            return false;
+        }
+        bytes += part.size() - parser.get().body().size;
+    }
+    return true;
+}
+
+// A caller may say how much work its request is, so that runs with the same seed are alike.
+Microseconds StandinTarget::workTime(const std::string &target)
+{
+    const TimePoint now = Clock::now();
+    std::int64_t asked = 0;
+    const bool given = absl::SimpleAtoi(queryValue(target, "work"), &asked);
+    if (behaviour_.shiftEveryMs > 0 && now >= nextShift_) {
+        std::exponential_distribution<double> gap(1 / behaviour_.shiftEveryMs);
+        shiftUntil_ = now + Microseconds(static_cast<int>(behaviour_.shiftLengthMs * 1000));
+        nextShift_ = shiftUntil_ + Microseconds(static_cast<int>(gap(random_) * 1000));
+    }
+    double ms = (given ? static_cast<double>(asked) / 1000 : behaviour_.meanWorkMs)
+        * behaviour_.slowdown;
+    if (!given && behaviour_.shape == WorkShape::exponential && ms > 0) {
+        ms = std::exponential_distribution<double>(1 / ms)(random_);
+    }
+    if (now < shiftUntil_) {
+        ms *= behaviour_.shiftFactor;
+    }
+    return Microseconds(static_cast<std::int64_t>(ms * 1000));
+}
+
+// False when the queue is full; the request is then shed without having been run.
+bool StandinTarget::takeSlot(Yield yield)
+{
+    if (running_ < behaviour_.slots) {
+        ++running_;
+        return true;
+    }
+    if (static_cast<int>(waiting_.size()) >= behaviour_.queue) {
+        return false;
+    }
+    asio::steady_timer timer(context_, TimePoint::max());
+    waiting_.push_back(&timer);
+    ErrorCode ignored;
+    timer.async_wait(yield[ignored]);
+    return true;
+}
+
+void StandinTarget::releaseSlot()
+{
+    if (waiting_.empty()) {
+        --running_;
+        return;
+    }
+    waiting_.front()->cancel();
+    waiting_.pop_front();
+}
+
+void StandinTarget::crash()
+{
+    ++crashes_;
+    crashed_ = true;
+    for (const auto &connection : connections_) {
+        connection->stream.close();
+    }
+    spawnOn(context_, [this](Yield yield) {
+        pauseFor(context_, restartTime, yield);
+        crashed_ = false;
+    });
+}
+
+HttpResponse StandinTarget::answerTo(const http::request_header<> &header,
+                                     std::uint64_t bodyBytes)
+{
+    const std::string target(header.target());
+    std::uint64_t size = 0;
+    std::string body = absl::StrCat("{\"path\":\"", target, "\",\"received\":", bodyBytes, "}\n");
+    if (absl::SimpleAtoi(queryValue(target, "size"), &size)) {
+        body.resize(std::max<std::size_t>(body.size(), size), '.');
+    }
+    HttpResponse response = textResponse(http::status::ok, std::move(body));
+    response.set("Standin-Echo", target);
+    return response;
+}
+
+bool StandinTarget::write(Connection &connection, HttpResponse response, Yield yield)
+{
+    const int reported = static_cast<int>(inFlight() * behaviour_.lieFactor);
+    response.set(wire::load, absl::StrCat("inflight=", reported, ";slots=", behaviour_.slots));
+    response.keep_alive(true);
+    response.prepare_payload();
+    ErrorCode error;
+    const bool cut
+        = std::uniform_real_distribution<double>()(random_) < behaviour_.truncateShare;
+    if (cut) {
+        response.content_length(response.body().size() + 64);
+    }
+    connection.stream.expires_after(idleTime);
+    http::async_write(connection.stream, response, yield[error]);
+    if (cut) {
+        connection.stream.close();
+    }
+    return !error && !cut;
+}
+
+bool StandinTarget::answerOne(Connection &connection, Yield yield)
+{
+    Parser parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    ErrorCode error;
+    connection.stream.expires_after(idleTime);
+    http::async_read_header(connection.stream, connection.buffer, parser, yield[error]);
+    std::uint64_t bytes = 0;
+    if (error) {
+        return false;
+    }
+    const http::request_header<> header = parser.get();
+    const std::string target(header.target());
+    if (target == "/health") {
+        ++probes_;
+        const auto status = behaviour_.healthFails ? http::status::service_unavailable
+                                                   : http::status::ok;
+        return readBody(connection, parser, bytes, yield)
+            && write(connection, textResponse(status, "{}"), yield);
+    }
+    if (!readBody(connection, parser, bytes, yield)) {
+        return false;
+    }
+    if (connection.silent) {
+        pauseFor(context_, idleTime, yield);
+        return false;
+    }
+    peak_ = std::max(peak_, inFlight() + 1);
+    if (std::uniform_real_distribution<double>()(random_) < behaviour_.failShare) {
+        return write(connection, textResponse(http::status::internal_server_error, "{}"), yield);
+    }
+    if (!takeSlot(yield)) {
+        ++sheds_;
+        HttpResponse shed = textResponse(http::status::service_unavailable, "{}");
+        shed.set(wire::shed, "not-run");
+        return write(connection, std::move(shed), yield);
+    }
+    if (behaviour_.crashOnPoison && target.find("/poison") != std::string::npos) {
+        releaseSlot();
+        crash();
+        return false;
+    }
+    const std::string key(header[wire::idempotencyKey]);
+    if (!key.empty()) {
+        ++ledger_.runs[key];
+    }
+    const std::string upload = queryValue(target, "upload");
+    if (!upload.empty()) {
+        ledger_.uploads[upload] = bytes;
+    }
+    pauseFor(context_, workTime(target), yield);
+    ++served_;
+    HttpResponse response = answerTo(header, bytes);
+    releaseSlot();
+    return write(connection, std::move(response), yield);
+}
+
+} // namespace kumquat::standin
--- /dev/null
+++ b/tools/standin/StandinTarget.h
@@ -0,0 +1,84 @@
+#pragma once
+/// \file
+/// Defines one stand-in target: an HTTP server with slots, a queue and switchable faults.
+/// Its answers repeat what was asked, so that a caller can tell whether an answer is its own.
+
+#include "Behaviour.h"
+#include "kumquat/TargetRecord.h"
+#include "transport/HttpServer.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace kumquat::standin {
+
+/// Counts how often each once-key ran, over all targets of the process.
+struct RunLedger
+{
+    std::map<std::string, int> runs;
+    std::map<std::string, std::uint64_t> uploads; ///< bytes of each whole upload, by its key
+};
+
+class StandinTarget
+{
+public:
+    StandinTarget(asio::io_context &context, TargetRecord record, Behaviour behaviour,
+                  RunLedger &ledger, std::uint64_t seed);
+
+    absl::Status listen();
+
+    const TargetRecord &record() const { return record_; }
+    TargetRecord &record() { return record_; }
+    Behaviour &behaviour() { return behaviour_; }
+    int inFlight() const { return running_ + static_cast<int>(waiting_.size()); }
+    int peakInFlight() const { return peak_; }
+    std::uint64_t served() const { return served_; }
+    std::uint64_t sheds() const { return sheds_; }
+    std::uint64_t probes() const { return probes_; }
+    std::uint64_t crashes() const { return crashes_; }
+
+    /// Marks the connections that are open now as silent for good; new ones work.
+    void silenceOpenConnections();
+
+private:
+    struct Connection
+    {
+        explicit Connection(asio::ip::tcp::socket socket) : stream(std::move(socket)) { }
+        TcpStream stream;
+        beast::flat_buffer buffer;
+        bool silent = false;
+    };
+    using Parser = http::request_parser<http::buffer_body>;
+
+    void accept(Yield yield);
+    void serve(const std::shared_ptr<Connection> &connection, Yield yield);
+    bool answerOne(Connection &connection, Yield yield);
+    bool readBody(Connection &connection, Parser &parser, std::uint64_t &bytes, Yield yield);
+    bool takeSlot(Yield yield);
+    void releaseSlot();
+    Microseconds workTime(const std::string &target);
+    HttpResponse answerTo(const http::request_header<> &header, std::uint64_t bodyBytes);
+    bool write(Connection &connection, HttpResponse response, Yield yield);
+    void crash();
+
+    asio::io_context &context_;
+    TargetRecord record_;
+    Behaviour behaviour_;
+    RunLedger &ledger_;
+    Random random_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::set<std::shared_ptr<Connection>> connections_;
+    std::deque<asio::steady_timer *> waiting_;
+    int running_ = 0;
+    int peak_ = 0;
+    std::uint64_t served_ = 0;
+    std::uint64_t sheds_ = 0;
+    std::uint64_t probes_ = 0;
+    std::uint64_t crashes_ = 0;
+    TimePoint shiftUntil_;
+    TimePoint nextShift_;
+    bool crashed_ = false;
+};
+
+} // namespace kumquat::standin
