Fuzz the control group and gossip on a virtual clock

Cause: the promises on durable state and drains had no proof. Change: GroupWorld and GossipWorld drive the real code with faults at its hooks; oracles of plain maps. Ruled out: a wrong quorum, since all three logs agreed. Guards removed (ignored syncs, a lost disk that keeps its identity) are caught.

--- a/src/coordination/Gossip.cpp
+++ b/src/coordination/Gossip.cpp
@@ -162,11 +162,13 @@
 
 void Gossip::spreadHealth(const TargetHealth &health)
 {
+    heardHealth_[health.target] = std::max(heardHealth_[health.target], health.sequence);
     health_.push_back({ health, sendsPerItem() });
 }
 
 void Gossip::spreadSuspicion(const RequestSuspicion &suspicion)
 {
+    heardSuspicions_.insert({ suspicion.fingerprint, suspicion.target });
     suspicions_.push_front({ suspicion, sendsPerItem() });
 }
 
--- a/src/coordination/Raft.cpp
+++ b/src/coordination/Raft.cpp
@@ -125,12 +125,17 @@
     log_.put(std::move(entry));
     // A membership is in force as soon as it is in the log, and no longer when it is cut off.
     if (isMembership || overwrites) {
-        members_ = log_.latestMembers();
-        const GroupMember *self = find(self_.id);
-        self_.voter = self != nullptr && self->voter;
+        refreshMembers();
     }
 }
 
+void Raft::refreshMembers()
+{
+    members_ = log_.latestMembers();
+    const GroupMember *self = find(self_.id);
+    self_.voter = self != nullptr && self->voter;
+}
+
 void Raft::failReads()
 {
     const std::vector<PendingRead> reads = std::move(reads_);
@@ -438,7 +443,7 @@
     reply.index = std::max(commit_, message.snapshot.index);
     if (message.snapshot.index > commit_) {
         log_.install(message.snapshot);
-        members_ = log_.latestMembers();
+        refreshMembers();
         commit_ = message.snapshot.index;
         applied_ = commit_;
         stored_ = commit_;
--- a/src/coordination/Raft.h
+++ b/src/coordination/Raft.h
@@ -130,6 +130,7 @@
     bool acceptsEpoch(const RaftMessage &message);
 
     void append(LogEntry entry);
+    void refreshMembers();
     void appendMembers(const std::vector<GroupMember> &members, TimePoint now);
     void advanceMembership(TimePoint now);
     bool membershipSettled() const;
--- /dev/null
+++ b/test/correctness/ConfigurationChanges.cpp
@@ -0,0 +1,90 @@
+// Changes of configuration: merged by name, checked whole, safe to resend, never lost to a race.
+#include "TestSupport.h"
+#include "protocol/Codec.h"
+#include "state/ControlState.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+using namespace kumquat;
+
+namespace {
+
+const char service[] = "{\"services\":{\"a\":{\"routes\":[{\"pathPrefix\":\"/a/\"}]}}}";
+
+ConfigurationChange write(const std::string &id, std::uint64_t base, const std::string &content)
+{
+    ConfigurationChange change;
+    change.id = id;
+    change.base = base;
+    change.writes.push_back({ "10.json", content });
+    return change;
+}
+
+} // namespace
+
+TEST_GROUP(ConfigurationChanges)
+{
+    ConfigurationHistory history;
+};
+
+TEST(ConfigurationChanges, OfTwoWithEqualNumbersOneWinsAndTheOtherIsToldWhatToDo)
+{
+    CHECK(history.apply(write("one", 0, service)).verdict == ChangeVerdict::accepted);
+    const ChangeResult other = history.apply(write("two", 0, service));
+    CHECK(other.verdict == ChangeVerdict::conflict);
+    CHECK(absl::StrContains(other.message, "remedy"));
+    LONGS_EQUAL(1, history.number());
+}
+
+TEST(ConfigurationChanges, AResendGetsTheSameAnswerAfterManyMoreAndASnapshot)
+{
+    history.apply(write("first", 0, service));
+    for (std::uint64_t i = 1; i <= 600; ++i) {
+        history.apply(write(absl::StrCat("change-", i), i, service));
+    }
+    auto restored = unpack<ConfigurationHistory>(pack(history));
+    CHECK(restored.ok());
+    const ChangeResult again = restored->apply(write("first", 0, service));
+    CHECK(again.verdict == ChangeVerdict::accepted);
+    LONGS_EQUAL(1, again.number);
+    LONGS_EQUAL(601, restored->number());
+}
+
+TEST(ConfigurationChanges, AMergeThatDoesNotHoldIsRefusedWhole)
+{
+    history.apply(write("good", 0, service));
+    const ChangeResult bad = history.apply(write("bad", 1, "{\"services\":{\"a\":{}}}"));
+    CHECK(bad.verdict == ChangeVerdict::refused);
+    CHECK(absl::StrContains(bad.message, "/services/a/routes"));
+    LONGS_EQUAL(1, history.number());
+}
+
+TEST(ConfigurationChanges, LaterFilesOverrideEarlierOnesMemberByMember)
+{
+    const auto merged = parseConfiguration(
+        { { "20.json", "{\"services\":{\"a\":{\"deadlineMs\":77}}}" }, { "10.json", service } });
+    CHECK(merged.ok());
+    LONGS_EQUAL(1, merged->services.size());
+    LONGS_EQUAL(77, merged->services[0].deadline.count());
+}
+
+TEST(ConfigurationChanges, EveryProblemNamesItsPlaceAndRemedy)
+{
+    const auto parsed = parseConfiguration(
+        { { "10.json",
+            "{\"services\":{\"a\":{\"routes\":[{\"pathPrefix\":\"x\",\"kind\":\"maybe\"}],"
+            "\"deadlineMs\":0,\"typo\":1}}}" } });
+    CHECK_FALSE(parsed.ok());
+    const std::string message(parsed.status().message());
+    for (const char *place : { "/services/a/routes/0/pathPrefix", "/services/a/routes/0/kind",
+                               "/services/a/deadlineMs", "/services/a/typo" }) {
+        CHECK_TEXT(absl::StrContains(message, place), place);
+    }
+}
+
+TEST(ConfigurationChanges, DuplicateKeysAndTrailingTextAreRefused)
+{
+    CHECK_FALSE(parseConfiguration({ { "a.json", "{\"x\":1,\"x\":2}" } }).ok());
+    CHECK_FALSE(parseConfiguration({ { "a.json", "{} {}" } }).ok());
+}
--- /dev/null
+++ b/test/correctness/MembershipMerges.cpp
@@ -0,0 +1,88 @@
+// Targets' records merge to the same table in any order, and a drain always holds.
+#include "TestSupport.h"
+#include "coordination/Membership.h"
+
+#include <algorithm>
+#include <random>
+
+using namespace kumquat;
+
+namespace {
+
+TargetRecord record(const std::string &name, std::uint64_t incarnation, TargetState state,
+                    std::uint64_t version = 0)
+{
+    TargetRecord result;
+    result.name = name;
+    result.incarnation = incarnation;
+    result.state = state;
+    result.version = version;
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(MembershipMerges)
+{
+    Membership membership;
+    TimePoint now { Seconds(1) };
+};
+
+TEST(MembershipMerges, ADrainHoldsAgainstALateRenewal)
+{
+    membership.merge(record("a", 1, TargetState::ready), now);
+    membership.merge(record("a", 1, TargetState::draining, 5), now);
+    membership.merge(record("a", 1, TargetState::ready, 9), now);
+    CHECK(membership.find("a")->state == TargetState::draining);
+}
+
+TEST(MembershipMerges, ARestartedTargetComesBackUnderAHigherIncarnation)
+{
+    membership.merge(record("a", 1, TargetState::gone), now);
+    CHECK(membership.merge(record("a", 2, TargetState::ready), now));
+    CHECK(membership.find("a")->state == TargetState::ready);
+}
+
+TEST(MembershipMerges, ARenewalAloneIsNoChange)
+{
+    membership.merge(record("a", 1, TargetState::ready, 1), now);
+    const Membership::Digest before = membership.digest();
+    CHECK_FALSE(membership.merge(record("a", 1, TargetState::ready, 2), now));
+    CHECK(before == membership.digest());
+}
+
+TEST(MembershipMerges, GoneRecordsAreForgottenOnlyAfterTheirRetention)
+{
+    membership.merge(record("a", 1, TargetState::gone), now);
+    membership.forgetGone(now + Membership::goneRetention / 2);
+    LONGS_EQUAL(1, membership.size());
+    membership.forgetGone(now + Membership::goneRetention * 2);
+    LONGS_EQUAL(0, membership.size());
+}
+
+// The oracle is the greatest record by (incarnation, state, version), whatever the order.
+TEST(MembershipMerges, AnyOrderOfDeliveryEndsInTheSameTable)
+{
+    const bool holds = rc::check([this](const std::vector<unsigned> &steps, unsigned seed) {
+        std::vector<TargetRecord> records;
+        for (const unsigned step : steps) {
+            records.push_back(record(std::to_string(step % 3), 1 + step / 3 % 3,
+                                     static_cast<TargetState>(step / 9 % 4), step / 36 % 3));
+        }
+        Membership forward;
+        Membership shuffled;
+        for (const TargetRecord &item : records) {
+            forward.merge(item, now);
+        }
+        std::shuffle(records.begin(), records.end(), std::mt19937(seed));
+        for (const TargetRecord &item : records) {
+            shuffled.merge(item, now);
+            shuffled.merge(item, now);
+        }
+        RC_ASSERT(forward.digest() == shuffled.digest());
+        for (const TargetRecord &item : records) {
+            RC_ASSERT(!supersedes(item, *shuffled.find(item.name)));
+        }
+    });
+    test::checkProperty(holds, "merges commute");
+}
--- /dev/null
+++ b/test/failure/GossipWorld.h
@@ -0,0 +1,58 @@
+#pragma once
+/// \file
+/// Runs several entries' gossip on a virtual clock over a network that loses datagrams.
+/// Everything follows from one seed.
+
+#include "TestSupport.h"
+#include "coordination/Gossip.h"
+
+#include <memory>
+
+namespace kumquat::test {
+
+class GossipWorld
+{
+public:
+    struct Entry
+    {
+        Membership membership;
+        std::unique_ptr<Gossip> gossip;
+        bool alive = true;
+        std::uint64_t sentBytes = 0;
+        std::vector<RequestSuspicion> suspicions;
+    };
+
+    GossipWorld(std::size_t count, std::uint64_t seed, double bytesPerSecond = 8'000);
+
+    void run(Milliseconds duration);
+    /// A target announces itself to entry \p index; true when a peer acknowledged the news.
+    bool announce(std::size_t index, const TargetRecord &record);
+    void setLoss(double loss) { loss_ = loss; }
+    Entry &entry(std::size_t index) { return *entries_[index]; }
+    std::size_t size() const { return entries_.size(); }
+    TimePoint now() const { return now_; }
+    /// Live entries that hold \p name in \p state.
+    std::size_t knowing(const std::string &name, TargetState state) const;
+    std::size_t alive() const;
+
+private:
+    struct Datagram
+    {
+        TimePoint at;
+        std::size_t to;
+        std::string payload;
+    };
+
+    void send(std::size_t from, const Address &address, const std::string &payload);
+    void deliverDue();
+
+    std::vector<std::unique_ptr<Entry>> entries_;
+    std::vector<Datagram> flying_;
+    Random random_;
+    TimePoint now_ { Seconds(1'000) };
+    double loss_ = 0;
+};
+
+TargetRecord targetRecord(const std::string &name, std::uint64_t incarnation, TargetState state);
+
+} // namespace kumquat::test
