Test whole processes under failure

Cause: the promises were proved on a virtual clock only. Change: tests that kill, freeze, cut off and empty control members, kill and stop entries, and make targets fail; the load tool's audit is the oracle, and it now asks entries for readiness as a balancer would.

--- a/include/kumquat/Settings.h
+++ b/include/kumquat/Settings.h
@@ -37,6 +37,7 @@
     std::string name;
     std::string failureDomain;
     std::string dataFolder;
+    std::string listenAddress; ///< where it differs from its address in `members`
     std::vector<ControlMember> members; ///< this process included
     std::string clusterKeyFile;
     int maxOnceRecords = 200'000;
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -7,9 +7,11 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import urllib.request
 
@@ -44,6 +46,45 @@
     raise RuntimeError("timed out waiting for " + what)
 
 
+class Relay(threading.Thread):
+    """Passes TCP on, until told to go silent: it then takes bytes and delivers none."""
+
+    def __init__(self, port, to):
+        super().__init__(daemon=True)
+        self.to = to
+        self.silent = False
+        self.listener = socket.create_server(("127.0.0.1", port), backlog=256)
+        self.start()
+
+    def run(self):
+        while True:
+            caller, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(caller,), daemon=True).start()
+
+    def serve(self, caller):
+        try:
+            target = socket.create_connection(("127.0.0.1", self.to), timeout=2)
+        except OSError:
+            caller.close()
+            return
+        target.settimeout(None)
+        threading.Thread(target=self.pump, args=(target, caller), daemon=True).start()
+        self.pump(caller, target)
+
+    def pump(self, source, sink):
+        try:
+            while data := source.recv(65536):
+                if not self.silent:
+                    sink.sendall(data)
+        except OSError:
+            pass
+        for end in (source, sink):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class Process:
     """One process, known by its ID; its log goes to a file in the fleet's folder."""
 
@@ -98,7 +139,7 @@
 
     def __init__(self, profile="clearline", entries=6, controls=3, build=None, base=0,
                  services=None, threads=1, lease_ms=5000, work_ms=10, configuration=None,
-                 control_settings=None, gossip_ports=None, seed=1):
+                 control_settings=None, relay=False, seed=1):
         self.profile = PROFILES[profile]
         self.services = services or self.profile["services"]
         self.build = build or os.environ.get("KUMQUAT_BUILD", os.path.join(ROOT, "build"))
@@ -117,8 +158,9 @@
         self.entry = []
         self.standin = None
         self.key = os.path.join(self.folder, "cluster.key")
-        # What each entry believes its peers' gossip addresses to be; tests put relays here.
-        self.gossip_ports = gossip_ports
+        # With relays, control members are reached through ports that can be made to go silent.
+        self.relays = [Relay(7101 + base + i, 7151 + base + i)
+                       for i in range(controls)] if relay else []
         with open(self.key, "w") as file:
             file.write("local-fleet-" + os.urandom(16).hex() + "\n")
 
@@ -169,6 +211,8 @@
                         for j in range(self.control_count)],
             "clusterKeyFile": self.key,
         }
+        if self.relays:
+            settings["listenAddress"] = f"127.0.0.1:{7151 + self.base + i}"
         settings.update(self.control_settings)
         path = self.write_settings(f"control-{i}", settings)
         return Process(f"control-{i}", [self.program("kumquat-control"), "--settings", path],
@@ -257,8 +301,10 @@
             return json.loads(answer.read().decode())["changed"]
 
     def group_is_whole(self):
+        """True when each member knows itself to be a voter and there are as many as there are."""
+        dumps = [self.dump(self.control_address(i)) for i in range(self.control_count)]
         voters = [m for m in self.dump(self.leader_address())["members"] if m["voter"]]
-        return len(voters) == self.control_count
+        return all(d["voter"] for d in dumps) and len(voters) == self.control_count
 
     def leader(self):
         """The position of the member that leads."""
--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -64,7 +64,7 @@
             targets = ",".join(f"127.0.0.1:{20000 + i}" for i in range(8))
             flags = dict(mix="catalogue:lookup:1:0", rate=rate, seconds=8, standin="")
             fleet.load(**{**flags, "seconds": 2})
-            direct, _ = fleet.load(entries=targets, **flags)
+            direct, _ = fleet.load(entries=targets, direct="true", **flags)
             cpu = fleet.entry[0].cpu_seconds()
             through, _ = fleet.load(**flags)
             cpu = fleet.entry[0].cpu_seconds() - cpu
--- a/src/common/Program.cpp
+++ b/src/common/Program.cpp
@@ -25,12 +25,17 @@
 
 } // namespace
 
-void startProgram(const std::string &name)
+// Coroutines come and go with their stacks; memory that goes back to the system after each would
+// have to be mapped and cleared again for the next.
+void keepFreedMemory()
 {
-    // Coroutines come and go with their stacks; memory that goes back to the system after each
-    // would have to be mapped and cleared again for the next.
     mallopt(M_MMAP_THRESHOLD, keepBelowBytes);
     mallopt(M_TRIM_THRESHOLD, keepFreeBytes);
+}
+
+void startProgram(const std::string &name)
+{
+    keepFreedMemory();
     std::signal(SIGPIPE, SIG_IGN);
     const sigset_t signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
--- a/src/common/Program.h
+++ b/src/common/Program.h
@@ -12,6 +12,9 @@
 /// Calls \p onStop on SIGTERM or SIGINT, from a thread of its own.
 void onStopSignal(std::function<void()> onStop);
 
+/// Lets the process keep memory that it frees, up to a bound.
+void keepFreedMemory();
+
 /// Ignores SIGPIPE, blocks the stop signals for all threads started later, starts the log.
 void startProgram(const std::string &name);
 
--- a/src/coordination/ControlServer.cpp
+++ b/src/coordination/ControlServer.cpp
@@ -60,7 +60,8 @@
             options.peerAddresses.push_back(member.address);
         }
     }
-    address_ = *parseAddress(options.address);
+    address_ = *parseAddress(settings_.listenAddress.empty() ? options.address
+                                                             : settings_.listenAddress);
     GroupNodeHooks hooks;
     hooks.now = Clock::now;
     hooks.wallNow = wallTime;
--- a/src/coordination/EntryWorker.cpp
+++ b/src/coordination/EntryWorker.cpp
@@ -98,7 +98,7 @@
     const auto caller = std::make_shared<CallerConnection>(loop_, std::move(socket));
     callers_.insert(caller);
     caller->serve([this](CallerConnection &connection, Yield inner) { handle(connection, inner); },
-                  [this] { return core_.stopping.load() && !acceptor_.is_open(); }, yield);
+                  [this] { return core_.stopping.load(); }, yield);
     callers_.erase(caller);
 }
 
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -29,27 +29,29 @@
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
-void CallerConnection::serve(const Handler &handler, const std::function<bool()> &stopping,
-                             Yield yield)
+void CallerConnection::serve(const Handler &handler, std::function<bool()> stopping, Yield yield)
 {
-    while (!stopping() && !closing_) {
+    stopping_ = std::move(stopping);
+    do {
         if (!readHeader(yield)) {
             break;
         }
         answered_ = false;
-        // Once stopping, the answer tells the caller to open its next connection elsewhere.
         handler(*this, yield);
         stopWatching();
-        const bool again = answered_ && bodyRead() && parser_->get().keep_alive();
-        if (!again || stopping()) {
-            break;
-        }
-    }
+    } while (answered_ && keepsAlive());
     ErrorCode ignored;
     stream_.socket().shutdown(TcpSocket::shutdown_send, ignored);
     stream_.close();
 }
 
+// A body that nobody will read would be taken for the next request.
+bool CallerConnection::keepsAlive() const
+{
+    return !closing_ && !stopping_() && parser_->is_header_done() && bodyRead()
+        && parser_->get().keep_alive();
+}
+
 // Waits long for the first byte of a request, then only shortly for the rest of its header.
 ErrorCode CallerConnection::waitForRequest(Yield yield)
 {
@@ -155,9 +157,7 @@
     stopWatching();
     ErrorCode error;
     response.version(11);
-    // A body that nobody will read would be taken for the next request.
-    const bool keep = !closing_ && parser_->is_header_done() && bodyRead()
-        && parser_->get().keep_alive();
+    const bool keep = keepsAlive();
     response.keep_alive(keep);
     if (parser_->is_header_done() && header().method() == http::verb::head) {
         response.content_length(response.body().size());
@@ -185,7 +185,7 @@
     } else {
         streamed_->chunked(true);
     }
-    streamed_->keep_alive(bodyRead() && parser_->get().keep_alive());
+    streamed_->keep_alive(keepsAlive());
     streamed_->body().data = nullptr;
     streamed_->body().more = true;
     serializer_.emplace(*streamed_);
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -20,7 +20,8 @@
     CallerConnection(asio::io_context &context, TcpSocket socket);
 
     /// Serves requests until the caller or the process ends the connection.
-    void serve(const Handler &handler, const std::function<bool()> &stopping, Yield yield);
+    /// Answers sent while \p stopping holds tell the caller to connect elsewhere.
+    void serve(const Handler &handler, std::function<bool()> stopping, Yield yield);
 
     asio::io_context &context() { return context_; }
     const http::request_header<> &header() const { return parser_->get(); }
@@ -51,6 +52,7 @@
     void closeIfWaiting();
 
 private:
+    bool keepsAlive() const;
     ErrorCode continueIfExpected(Yield yield);
     void watch();
     void answerMalformed(ErrorCode error, Yield yield);
@@ -59,6 +61,7 @@
 
     asio::io_context &context_;
     TcpStream stream_;
+    std::function<bool()> stopping_;
     beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     std::shared_ptr<std::function<void()>> departure_;
--- a/src/protocol/Settings.cpp
+++ b/src/protocol/Settings.cpp
@@ -114,6 +114,9 @@
     settings.name = object.text("name");
     settings.failureDomain = object.text("failureDomain");
     settings.dataFolder = object.text("dataFolder");
+    if (!object.member("listenAddress").isNull()) {
+        settings.listenAddress = readAddress(object, "listenAddress", problems);
+    }
     settings.members = readMembers(object, problems);
     settings.clusterKeyFile = object.text("clusterKeyFile");
     settings.maxOnceRecords = static_cast<int>(
--- /dev/null
+++ b/test/processes/test_control_failures.py
@@ -0,0 +1,107 @@
+"""Control members are killed, frozen, cut off and lose their disks under a load of bookings.
+
+The load's audit holds the promises: no booking runs twice, nothing told `not-run` has run.
+"""
+
+import os
+import shutil
+import signal
+import time
+import unittest
+
+from support import BOOKINGS, Fleet, FleetTest, wait_until
+
+
+class ControlFailures(FleetTest):
+    def test_a_killed_leader_costs_no_booking_twice(self):
+        def kill():
+            time.sleep(1.5)
+            leader = self.fleet.leader()
+            self.fleet.control[leader].kill()
+            time.sleep(2)
+            self.fleet.control[leader].start()
+
+        result = self.run_load(kill, mix=BOOKINGS, rate=200)
+        self.assertGreater(self.total(result, "answered"), 0)
+
+    def test_a_frozen_leader_that_resumes_changes_nothing(self):
+        def freeze():
+            time.sleep(1.5)
+            leader = self.fleet.control[self.fleet.leader()]
+            leader.signal(signal.SIGSTOP)
+            time.sleep(3)
+            leader.signal(signal.SIGCONT)
+
+        result = self.run_load(freeze, mix=BOOKINGS, rate=200)
+        self.assertGreater(self.total(result, "answered"), 0)
+
+    def test_lost_disks_one_after_the_other_are_repaired(self):
+        def lose():
+            for member in (0, 1):
+                self.fleet.control[member].kill()
+                shutil.rmtree(os.path.join(self.fleet.folder, f"control-{member}.data"))
+                self.fleet.control[member].start()
+                wait_until(self.fleet.group_is_whole, 20, "the group to be whole again")
+
+        self.run_load(lose, mix=BOOKINGS, rate=200, seconds=8)
+        # What was accepted before the losses is still in force.
+        self.assertIn('"number" : 1', self.fleet.ctl("status").stdout
+                      .replace('configurationNumber', 'number'))
+
+    def test_without_a_majority_bookings_are_refused_and_lookups_go_on(self):
+        leader = self.fleet.leader()
+        for member in range(3):
+            if member != leader:
+                self.fleet.control[member].kill()
+        result = self.run_load(mix="orders:booking:0.3:5,catalogue:lookup:0.7:5", rate=100,
+                               seconds=4)
+        lookups = result["kinds"]["catalogue lookup"]
+        self.assertEqual(lookups["answered"], lookups["sent"])
+        self.assertEqual(result["kinds"]["orders booking"]["answered"], 0)
+
+    def test_a_restarted_entry_gets_the_version_in_force(self):
+        folder = os.path.join(self.fleet.folder, "changed")
+        shutil.copytree(self.fleet.configuration, folder)
+        for number in range(8):
+            with open(os.path.join(folder, "95-more.json"), "w") as file:
+                file.write('{ "probesPerSecond": %d }' % (number + 1))
+            self.fleet.ctl("apply", folder)
+        self.fleet.entry[0].kill()
+        self.fleet.entry[0].start()
+        wait_until(self.fleet.entries_ready, 15, "the entry to be ready")
+        version = self.fleet.dump(self.fleet.internal_address(0))["configuration"]["number"]
+        self.assertEqual(version, 9)
+
+    def test_of_two_operators_with_equal_numbers_one_wins(self):
+        first = self.fleet.ctl("apply", self.fleet.configuration, "--base=1", check=False)
+        second = self.fleet.ctl("apply", self.fleet.configuration, "--base=1", check=False)
+        self.assertIn("accepted", first.stdout)
+        self.assertIn("conflict", second.stdout)
+        self.assertEqual(second.returncode, 2)
+
+    def test_a_resent_change_gets_its_first_answer(self):
+        flags = ("apply", self.fleet.configuration, "--base=1", "--id=same")
+        first = self.fleet.ctl(*flags)
+        self.fleet.ctl("apply", self.fleet.configuration)
+        again = self.fleet.ctl(*flags)
+        self.assertEqual(first.stdout, again.stdout)
+
+
+class SilentPartition(FleetTest):
+    options = {"relay": True}
+
+    def test_a_leader_that_hears_nobody_gives_way(self):
+        def cut():
+            time.sleep(1)
+            leader = self.fleet.leader()
+            self.fleet.relays[leader].silent = True
+            time.sleep(4)
+            self.fleet.relays[leader].silent = False
+
+        result = self.run_load(cut, mix=BOOKINGS, rate=100, seconds=8)
+        self.assertGreater(self.total(result, "answered"), 0)
+        wait_until(self.fleet.group_is_whole, 20, "the group to be whole again")
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
--- a/tools/load/Caller.cpp
+++ b/tools/load/Caller.cpp
@@ -1,6 +1,7 @@
 #include "Caller.h"
 
 #include "protocol/Wire.h"
+#include "transport/HttpClient.h"
 #include "transport/Spawn.h"
 
 #include <absl/strings/match.h>
@@ -12,6 +13,8 @@
 
 constexpr Milliseconds answerGrace { 1'000 };
 constexpr Milliseconds resendPause { 150 };
+constexpr Milliseconds readyInterval { 100 };
+constexpr Milliseconds readyTimeout { 300 };
 constexpr std::size_t maxIdle = 64;
 
 } // namespace
@@ -25,7 +28,8 @@
 };
 
 Caller::Caller(asio::io_context &context, CallerOptions options) :
-    context_(context), options_(std::move(options)), idle_(options_.entries.size())
+    context_(context), options_(std::move(options)), idle_(options_.entries.size()),
+    ready_(options_.entries.size(), true)
 {
 }
 
@@ -33,7 +37,35 @@
 
 void Caller::start(const std::vector<PlannedRequest> &plan)
 {
+    unfinished_ = plan.size();
     spawnOn(context_, [this, &plan](Yield yield) { dispatch(plan, yield); });
+    for (std::size_t entry = 0; options_.balanced && entry < options_.entries.size(); ++entry) {
+        spawnOn(context_, [this, entry](Yield yield) { watchEntry(entry, yield); });
+    }
+}
+
+// Stands for the platform's balancer: asks each entry whether it is ready.
+void Caller::watchEntry(std::size_t entry, Yield yield)
+{
+    HttpClient client(context_, nullptr);
+    while (unfinished_ > 0) {
+        HttpRequest request(http::verb::get, wire::readyPath, 11);
+        const auto answer
+            = client.send(options_.entries[entry], std::move(request), readyTimeout, yield);
+        ready_[entry] = answer.ok() && answer->result() == http::status::ok;
+        pauseFor(context_, readyInterval, yield);
+    }
+}
+
+std::size_t Caller::pickEntry(std::uint64_t number) const
+{
+    const std::size_t count = options_.entries.size();
+    for (std::size_t step = 0; step < count; ++step) {
+        if (ready_[(number + step) % count]) {
+            return (number + step) % count;
+        }
+    }
+    return number % count;
 }
 
 void Caller::dispatch(const std::vector<PlannedRequest> &plan, Yield yield)
@@ -175,8 +207,7 @@
     const int sends = planned.kind == Kind::booking ? options_.bookingSends : 1;
     bool maybe = false;
     for (int sent = 0; sent < sends; ++sent) {
-        const std::size_t entry = (planned.number + static_cast<std::size_t>(sent))
-            % options_.entries.size();
+        const std::size_t entry = pickEntry(planned.number + static_cast<std::uint64_t>(sent));
         reply = send(planned, entry, yield);
         const bool settled = reply.verdict != Verdict::broken
             && !(reply.verdict == Verdict::refused && !reply.notRun);
@@ -186,6 +217,7 @@
         }
         pauseFor(context_, resendPause, yield);
     }
+    --unfinished_;
     switch (reply.verdict) {
     case Verdict::answered:
         ++tally.answered;
--- a/tools/load/Caller.h
+++ b/tools/load/Caller.h
@@ -37,6 +37,7 @@
     std::vector<Address> entries;
     Milliseconds deadline { 2'000 };
     std::size_t uploadBytes = 1'000'000;
+    bool balanced = true; ///< ask the entries whether they are ready, as a balancer would
     int bookingSends = 4; ///< the first included
     std::string runId; ///< part of every key
 };
@@ -72,11 +73,15 @@
     HttpRequest build(const PlannedRequest &request) const;
     Reply judge(const HttpRequest &request, const HttpResponse &response) const;
     std::string keyOf(const PlannedRequest &request) const;
+    void watchEntry(std::size_t entry, Yield yield);
+    std::size_t pickEntry(std::uint64_t number) const;
     std::unique_ptr<Connection> connect(std::size_t entry, ErrorCode &error, Yield yield);
 
     asio::io_context &context_;
     CallerOptions options_;
     std::vector<std::vector<std::unique_ptr<Connection>>> idle_;
+    std::vector<bool> ready_; ///< what the platform's balancer would know of each entry
+    std::size_t unfinished_ = 0;
     std::map<std::string, Tally> tallies_;
     std::map<std::string, BookingFate> bookings_;
     std::map<std::string, bool> uploads_; ///< by key: was it acknowledged
--- a/tools/load/Main.cpp
+++ b/tools/load/Main.cpp
@@ -23,6 +23,7 @@
 DEFINE_int32(burst_every_ms, 0, "time between bursts; 0: no bursts");
 DEFINE_string(standin, "", "admin address of the stand-in, to check what ran");
 DEFINE_string(ideal, "", "SERVICE:SLOTS: also give the latency of one queue with exact knowledge");
+DEFINE_bool(direct, false, "the entries named are targets, without a readiness path");
 DEFINE_bool(json, false, "print JSON instead of a table");
 DEFINE_uint64(seed, 1, "seed of the plan");
 
@@ -171,6 +172,7 @@
                             "bookings run twice or dishonest refusals");
     gflags::SetVersionString(KUMQUAT_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    keepFreedMemory();
     PlanOptions planOptions;
     const auto shares = parseShares(FLAGS_mix);
     if (!shares.ok()) {
@@ -190,6 +192,7 @@
         }
         callerOptions.entries.push_back(*address);
     }
+    callerOptions.balanced = !FLAGS_direct;
     callerOptions.deadline = Milliseconds(FLAGS_deadline_ms);
     callerOptions.uploadBytes = static_cast<std::size_t>(FLAGS_upload_bytes);
     callerOptions.runId = absl::StrCat("run-", absl::Hex(randomSeed()));
