--- a/daemons/Ctl.cpp
+++ b/daemons/Ctl.cpp
@@ -83,9 +83,8 @@
     JsonRpcOutcome callMember(const std::string &member, const std::string &method,
                               const Json::Value &parameters)
     {
-        const JsonRpcCarrier carrier = [this, &member](const std::string &message) {
-            return carry(member, message);
-        };
+        const JsonRpcCarrier carrier
+            = [this, &member](const std::string &message) { return carry(member, message); };
         JsonRpcOutcome outcome = callJsonRpc(carrier, method, writeJson(parameters));
         if (unreachable_) {
             outcome.error = member + " cannot be reached";
@@ -188,8 +187,7 @@
     Random random(randomSeed());
     Json::Value change = changeOf(*files, *present);
     change["id"] = FLAGS_id.empty() ? absl::StrCat(absl::Hex(random())) : FLAGS_id;
-    change["base"]
-        = FLAGS_base >= 0 ? Json::Value(Json::Int64(FLAGS_base)) : (*present)["number"];
+    change["base"] = FLAGS_base >= 0 ? Json::Value(Json::Int64(FLAGS_base)) : (*present)["number"];
     const JsonRpcOutcome outcome = tool.call("apply", change);
     if (print(outcome) != 0) {
         return 1;
@@ -204,8 +202,8 @@
 int check(ControlTool &tool, const std::string &folder)
 {
     const auto files = readConfigurationFolder(folder);
-    const auto parsed = files.ok() ? parseConfiguration(*files)
-                                   : absl::StatusOr<Configuration>(files.status());
+    const auto parsed
+        = files.ok() ? parseConfiguration(*files) : absl::StatusOr<Configuration>(files.status());
     if (!parsed.ok()) {
         return fail(std::string(parsed.status().message()));
     }
@@ -277,8 +275,7 @@
         return callProcess(http::verb::get, wire::dumpPath, "");
     }
     if (command == "drain" && !first.empty()) {
-        return callProcess(http::verb::post, std::string(wire::targetsPath) + first + "/drain",
-                           "");
+        return callProcess(http::verb::post, std::string(wire::targetsPath) + first + "/drain", "");
     }
     if (command == "once" && first == "show" && words.size() == 4) {
         Json::Value parameters;
--- a/include/kumquat/Event.h
+++ b/include/kumquat/Event.h
@@ -28,14 +28,11 @@
     requestQuarantined = 320,
     leaderElected = 400,
     leaderLost = 401,
-    memberReadmitted = 402,
     logDamaged = 403,
     snapshotTaken = 404,
     snapshotInstalled = 405,
     groupFormed = 406,
-    onceUnknown = 500,
     badDatagram = 600,
-    badRequest = 601,
 };
 
 enum class LogLevel { info, warning, error };
--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -100,7 +100,273 @@
     write("saturation", rows)
 
 
-EXPERIMENTS = {f.__name__: f for f in (overhead, saturation)}
+CHOOSERS = ["smallest-estimate", "least-in-flight", "power-of-two", "round-robin", "random"]
+SLOTS = 40
+WORK_MS = 10
+
+
+def chooser_settings(chooser, slots_factor=2):
+    return json.dumps({"services": {"catalogue": {
+        "chooser": chooser,
+        "limits": {"concurrency": 400, "queue": 200, "slotsFactor": slots_factor}}}})
+
+
+def service_counters(fleet):
+    total = {}
+    for i in range(fleet.entry_count):
+        for name, value in fleet.metrics(fleet.internal_address(i)).items():
+            if 'service="catalogue"' in name and "_total" in name:
+                key = name.split("{")[0].replace("kumquat_", "").replace("_total", "")
+                total[key] = total.get(key, 0) + value
+            elif name in ("kumquat_probes_total", "kumquat_gossip_sent_bytes_total"):
+                total[name] = total.get(name, 0) + value
+    return total
+
+
+def choice_row(fleet, chooser, shape, share, seconds=6, **flags):
+    rate = share * SLOTS * 1000 / WORK_MS
+    before = service_counters(fleet)
+    result, honest = fleet.load(mix=f"catalogue:lookup:1:{WORK_MS}", rate=rate, seconds=seconds,
+                                standin="", ideal=f"catalogue:{SLOTS}", seed=11, **flags)
+    after = service_counters(fleet)
+    kind = result["kinds"]["catalogue lookup"]
+    calls = kind["sent"]
+    per_call = {key: (after[key] - before.get(key, 0)) / calls
+                for key in ("retries", "hedges", "sheds")}
+    probes = (after["kumquat_probes_total"] - before["kumquat_probes_total"]) / calls
+    p50, p99, p999 = quantiles(result, "catalogue lookup")
+    ideal = result["ideal"]
+    return show({"chooser": chooser, "shape": shape, "load": share, "p50_ms": p50, "p99_ms": p99,
+                 "p999_ms": p999, "p99_to_ideal": p99 / ideal["p99"],
+                 "p999_to_ideal": p999 / ideal["p999"],
+                 "answered_share": kind["answered"] / calls, **per_call, "probes": probes,
+                 "all_whole": honest})
+
+
+def choice():
+    """Ways to choose a target, side by side on the same seeded load through six entries."""
+    rows = []
+    with Fleet(services=[("catalogue", 20, 2)], work_ms=WORK_MS) as fleet:
+        for chooser in CHOOSERS:
+            override(fleet, chooser_settings(chooser))
+            fleet.load(mix=f"catalogue:lookup:1:{WORK_MS}", rate=1000, seconds=2, standin="")
+            for share in (0.5, 0.7, 0.85, 0.95):
+                rows.append(choice_row(fleet, chooser, "even", share))
+            rows.append(choice_row(fleet, chooser, "bursty", 0.7, burst_every_ms=500,
+                                   burst_factor=1.5))
+            fleet.behave("catalogue", shiftEveryMs=200, shiftLengthMs=20, shiftFactor=4)
+            rows.append(choice_row(fleet, chooser, "shifting", 0.7))
+            fleet.behave("catalogue", shiftEveryMs=0)
+            fleet.behave("catalogue-7", slowdown=6)
+            rows.append(choice_row(fleet, chooser, "one slow", 0.7))
+            fleet.behave("catalogue-7", slowdown=1, failShare=1)
+            rows.append(choice_row(fleet, chooser, "one failing", 0.7))
+            fleet.behave("catalogue-7", failShare=0)
+            fleet.behave("catalogue", lieFactor=0.2)
+            rows.append(choice_row(fleet, chooser, "lying reports", 0.85))
+            fleet.behave("catalogue", lieFactor=1)
+            write("choice", rows)
+    write("choice", rows)
+
+
+def slots_factor():
+    """Requests that all entries together may have at a target, per slot of it."""
+    rows = []
+    with Fleet(services=[("catalogue", 20, 2)], work_ms=WORK_MS) as fleet:
+        for factor in (1, 2, 4, 8):
+            override(fleet, chooser_settings("smallest-estimate", factor))
+            for share in (0.7, 0.85, 0.95):
+                row = choice_row(fleet, "smallest-estimate", "even", share)
+                rows.append({"slots_factor": factor, **row})
+                print(f"  slots_factor={factor}", flush=True)
+    write("slots_factor", rows)
+
+
+def overload():
+    """Answers within the deadline at and beyond capacity, and what is refused."""
+    rows = []
+    with Fleet(services=[("catalogue", 20, 2)], work_ms=WORK_MS) as fleet:
+        for share in (1.0, 1.5, 2.0):
+            row = choice_row(fleet, "smallest-estimate", "even", share, deadline_ms=500)
+            row["goodput_to_capacity"] = row["answered_share"] * share
+            rows.append(show(row))
+    write("overload", rows)
+
+
+def idle_cost(fleet, seconds=6):
+    """CPU share, gossip bytes a second and memory of the first entry, without calls."""
+    time.sleep(4)
+    entry = fleet.entry[0]
+    cpu = entry.cpu_seconds()
+    before = fleet.metrics(fleet.internal_address(0))["kumquat_gossip_sent_bytes_total"]
+    time.sleep(seconds)
+    after = fleet.metrics(fleet.internal_address(0))["kumquat_gossip_sent_bytes_total"]
+    return {"cpu_share": (entry.cpu_seconds() - cpu) / seconds,
+            "gossip_bytes_per_s": (after - before) / seconds, "entry_mb": entry.memory_mb()}
+
+
+def slopes(rows, x, fields):
+    for field in fields:
+        points = [(row[x], row[field]) for row in rows]
+        show({"slope_of": field, "against": x, **fit(points)})
+    return {field: fit([(row[x], row[field]) for row in rows]) for field in fields}
+
+
+COSTS = ("cpu_share", "gossip_bytes_per_s", "entry_mb")
+
+
+def per_target():
+    """What an entry spends at rest, against the number of targets (two entries)."""
+    rows = []
+    for targets in (50, 200, 600):
+        with Fleet(entries=2, controls=1, services=[("catalogue", targets, 2)],
+                   lease_ms=10000) as fleet:
+            rows.append(show({"targets": targets, **idle_cost(fleet)}))
+    write("per_target", {"rows": rows, "fit": slopes(rows, "targets", COSTS)})
+
+
+def per_entry():
+    """What an entry spends at rest, against the number of entries (50 targets)."""
+    rows = []
+    for entries in (3, 6, 12):
+        with Fleet(entries=entries, controls=1, services=[("catalogue", 50, 2)],
+                   lease_ms=10000) as fleet:
+            rows.append(show({"entries": entries, **idle_cost(fleet)}))
+    write("per_entry", {"rows": rows, "fit": slopes(rows, "entries", COSTS)})
+
+
+def per_connection():
+    """Memory of an entry against idle connections of callers."""
+    import socket
+    rows = []
+    with Fleet(entries=1, controls=1, services=[("catalogue", 4, 2)]) as fleet:
+        open_connections = []
+        host, port = fleet.caller_address(0).split(":")
+        for wanted in (100, 400, 900):
+            while len(open_connections) < wanted:
+                connection = socket.create_connection((host, int(port)))
+                connection.sendall(b"GET /kumquat/v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                connection.recv(4096)
+                open_connections.append(connection)
+            time.sleep(0.5)
+            rows.append(show({"connections": wanted, "entry_mb": fleet.entry[0].memory_mb()}))
+    write("per_connection", {"rows": rows, "fit": slopes(rows, "connections", ("entry_mb",))})
+
+
+def per_service():
+    """Memory of an entry and time until a change is in force, against configured services."""
+    rows = []
+    for count in (10, 50, 110):
+        with Fleet(entries=2, controls=3, services=[("catalogue", 4, 2)]) as fleet:
+            services = {f"s{i}": {"routes": [{"pathPrefix": f"/s{i}/"}]} for i in range(count)}
+            start = time.monotonic()
+            override(fleet, json.dumps({"services": services}))
+            rows.append(show({"services": count, "apply_and_wait_s": time.monotonic() - start,
+                              "entry_mb": fleet.entry[0].memory_mb()}))
+    write("per_service", {"rows": rows, "fit": slopes(rows, "services", ("entry_mb",))})
+
+
+def control_counters(fleet):
+    return fleet.metrics(fleet.leader_address())
+
+
+def once_records():
+    """Cost of bookings in the control group: time, fsyncs, log bytes, CPU, memory."""
+    rows = []
+    with Fleet(services=[("orders", 10, 20)], work_ms=1) as fleet:
+        stored = 0
+        for rate in (100, 300, 600):
+            before = control_counters(fleet)
+            leader = fleet.control[fleet.leader()]
+            cpu = leader.cpu_seconds()
+            result, honest = fleet.load(mix="orders:booking:1:0.1", rate=rate, seconds=8,
+                                        seed=rate)
+            after = control_counters(fleet)
+            kind = result["kinds"]["orders booking"]
+            stored += kind["answered"]
+            p50, p99, _ = quantiles(result, "orders booking")
+            calls = kind["sent"]
+            rows.append(show({
+                "rate": rate, "records": after["kumquat_control_once_records"], "p50_ms": p50,
+                "p99_ms": p99, "answered_share": kind["answered"] / calls, "honest": honest,
+                "fsyncs_per_booking": (after["kumquat_control_syncs_total"]
+                                       - before["kumquat_control_syncs_total"]) / calls,
+                "log_bytes_per_booking": (after["kumquat_control_log_bytes_total"]
+                                          - before["kumquat_control_log_bytes_total"]) / calls,
+                "leader_cpu_us_per_booking": (leader.cpu_seconds() - cpu) * 1e6 / calls,
+                "leader_mb": leader.memory_mb()}))
+        time.sleep(1)
+        start = time.monotonic()
+        leader = fleet.leader()
+        fleet.control[leader].kill()
+        wait_until(lambda: fleet.leader() >= 0, 20, "another leader")
+        rows.append(show({"leaderless_s": time.monotonic() - start}))
+    write("once_records", {"rows": rows,
+                           "fit": slopes(rows[:3], "records", ("leader_mb",))})
+
+
+def changes():
+    """Changes of configuration: time until in force on six entries, log bytes, restart time."""
+    rows = []
+    for snapshot_every in (1000000, 100):
+        settings = {"snapshotEveryEntries": snapshot_every}
+        with Fleet(services=[("catalogue", 4, 2)], control_settings=settings) as fleet:
+            for total in (100, 300, 600):
+                before = control_counters(fleet)
+                done = int(fleet.dump(fleet.leader_address())["configurationNumber"])
+                while done < total:
+                    fleet.ctl("apply", fleet.configuration)
+                    done += 1
+                after = control_counters(fleet)
+                waits = []
+                for _ in range(5):
+                    out = fleet.ctl("apply", fleet.configuration, "--wait", "--wait_entries=6")
+                    waits.append(int(out.stdout.rsplit("after ", 1)[1].split()[0]))
+                member = (fleet.leader() + 1) % 3
+                fleet.control[member].kill()
+                start = time.monotonic()
+                fleet.control[member].start()
+                wait_until(lambda: fleet.dump(fleet.control_address(member))
+                           ["configurationNumber"] >= done, 20, "the member to catch up")
+                log_bytes = (after["kumquat_control_log_bytes_total"]
+                             - before["kumquat_control_log_bytes_total"])
+                rows.append(show({"snapshot_every": snapshot_every, "changes": total,
+                                  "in_force_ms_max_of_5": max(waits),
+                                  "log_bytes_in_step": log_bytes,
+                                  "restart_s": time.monotonic() - start}))
+            for fault in ("kill", "freeze"):
+                victim = fleet.control[fleet.leader()]
+                victim.kill() if fault == "kill" else victim.signal(19)
+                start = time.monotonic()
+                out = fleet.ctl("apply", fleet.configuration, "--wait", "--wait_entries=6")
+                rows.append(show({"leader": fault, "changes": 1,
+                                  "apply_and_in_force_s": time.monotonic() - start,
+                                  "in_force_after_accept_ms":
+                                      int(out.stdout.rsplit("after ", 1)[1].split()[0])}))
+                victim.start() if fault == "kill" else victim.signal(18)
+                wait_until(fleet.group_is_whole, 20, "the group to be whole again")
+    write("changes", rows)
+
+
+def flood():
+    """What measuring costs under a flood of lookups, against rest."""
+    rows = []
+    with Fleet(services=[("catalogue", 20, 2)], work_ms=1) as fleet:
+        for rate in (10, 500, 3000):
+            before = [fleet.metrics(fleet.internal_address(i)) for i in range(6)]
+            fleet.load(mix="catalogue:lookup:1:1", rate=rate, seconds=8, standin="")
+            after = [fleet.metrics(fleet.internal_address(i)) for i in range(6)]
+            row = {"rate": rate}
+            for name in ("kumquat_probes_total", "kumquat_gossip_sent_bytes_total"):
+                row[name + "_per_entry_s"] = sum(
+                    a[name] - b[name] for a, b in zip(after, before)) / 6 / 8
+            rows.append(show(row))
+    write("flood", rows)
+
+
+EXPERIMENTS = {f.__name__: f for f in (overhead, saturation, choice, slots_factor, overload,
+                                   per_target, per_entry, per_connection, per_service,
+                                   once_records, changes, flood)}
 
 
 def main():
--- /dev/null
+++ b/spec/control.pml
@@ -0,0 +1,256 @@
+/*
+ * Model of the control group's core: a replicated log of once-claims over three members, with a
+ * lost disk that is re-admitted under a new identity, and an entry that claims, dispatches and may
+ * freeze in between. Checked by spin; scripts/model names the bounds and the planted faults.
+ *
+ * An identity is a member's slot plus how often its disk was lost. A vote or an acknowledgement
+ * counts for the identity that gave it, so that what a lost disk had promised is not taken back.
+ *
+ * Planted faults (-DFAULT_...), each of which the checker must catch:
+ *   FAULT_KEEP_IDENTITY  a lost disk keeps its identity and may vote at once
+ *   FAULT_EARLY_GRANT    a claim is granted before a majority has stored it
+ *   FAULT_LATE_DISPATCH  a claim whose answer came too late is dispatched all the same
+ *   FAULT_FREE_RELEASE   a key is released although it may have been dispatched
+ */
+
+#define MEMBERS 3
+#define ATTEMPTS 2
+#define MAX_TERM 2
+#define MAX_LOST 1
+#define MAX_WRITES 5        /* of one leader */
+
+/* The log is one register: which attempt holds the key, and the write that put it there. Writes
+   are ordered by term, then by their number in it. */
+#define STAMP(t, n) ((t) * 16 + (n))
+byte holder[MEMBERS];       /* attempt + 1, 0: free */
+byte stamp[MEMBERS];        /* of the last write it has, 0: none */
+byte term[MEMBERS];
+byte votedIn[MEMBERS];      /* the term of its last vote */
+bool voter[MEMBERS];        /* its identity is among the voters */
+bool up[MEMBERS];
+byte voters = 3;            /* size of the voting membership */
+byte lost = 0;
+
+byte leader = 255;
+byte leaderTerm = 0;
+byte leaderWrites = 0;      /* in its term */
+bool leaderReady = false;   /* has committed a write of its own term */
+
+/* What entries do; each attempt is one try of the same booking by some entry. */
+mtype = { idle, asked, granted, givenUp, dispatched, released };
+mtype state[ATTEMPTS];
+byte runs = 0;              /* how often the booking ran */
+bool told[ATTEMPTS];        /* the caller was told not-run for this attempt */
+bool ran[ATTEMPTS];
+
+inline countVotes(candidate, newTerm, count) {
+    count = 0;
+    byte v = 0;
+    do
+    :: v < MEMBERS ->
+        if
+        :: up[v] && voter[v] && votedIn[v] < newTerm && stamp[candidate] >= stamp[v] ->
+            votedIn[v] = newTerm;
+            term[v] = newTerm;
+            count++
+        :: else -> skip
+        fi;
+        v++
+    :: else -> break
+    od
+}
+
+/* Stores the value on every reachable member that accepts the leader's term; counts voters. */
+inline replicate(value, count) {
+    leaderWrites++;
+    count = 0;
+    byte r = 0;
+    do
+    :: r < MEMBERS ->
+        if
+        :: up[r] && term[r] <= leaderTerm ->
+            if
+            :: true ->
+                term[r] = leaderTerm;
+                votedIn[r] = (votedIn[r] < leaderTerm -> leaderTerm : votedIn[r]);
+                holder[r] = value;
+                stamp[r] = STAMP(leaderTerm, leaderWrites);
+                if
+                :: voter[r] -> count++
+                :: else -> skip
+                fi
+            :: r != leader -> skip      /* the message is lost */
+            fi
+        :: else -> skip
+        fi;
+        r++
+    :: else -> break
+    od
+}
+
+active proctype Elections() {
+    byte candidate; byte count; byte newTerm;
+    do
+    :: atomic {
+            leaderTerm < MAX_TERM ->
+            select(candidate : 0 .. MEMBERS - 1);
+            newTerm = leaderTerm + 1;
+            if
+            :: newTerm <= MAX_TERM && up[candidate] && voter[candidate] ->
+                countVotes(candidate, newTerm, count);
+                if
+                :: count > voters / 2 ->
+                    leader = candidate;
+                    leaderTerm = newTerm;
+                    leaderWrites = 0;
+                    leaderReady = false
+                :: else -> skip
+                fi
+            :: else -> skip
+            fi;
+            candidate = 0; count = 0; newTerm = 0
+        }
+    :: atomic {
+            leader != 255 && !leaderReady && leaderWrites < MAX_WRITES ->
+            /* the new leader's first write carries over what it holds */
+            replicate(holder[leader], count);
+            leaderReady = (count > voters / 2);
+            count = 0
+        }
+    :: else -> break
+    od
+}
+
+active proctype Disks() {
+    byte victim; byte count;
+    do
+    :: lost < MAX_LOST ->
+        atomic {
+            select(victim : 0 .. MEMBERS - 1);
+            lost++;
+            holder[victim] = 0;
+            stamp[victim] = 0;
+            term[victim] = 0;
+            votedIn[victim] = 0;
+            if
+            :: leader == victim -> leader = 255; leaderReady = false
+            :: else -> skip
+            fi;
+#ifndef FAULT_KEEP_IDENTITY
+            voter[victim] = false   /* its old identity is still counted, and never answers */
+#endif
+        }
+    :: lost > 0 ->
+        /* The leader removes the old identity, then takes the new one in as a voter, each by a
+           committed write; in between it has caught up. */
+        atomic {
+            if
+            :: leader != 255 && leaderReady && !voter[victim] && voters == MEMBERS && leaderWrites < MAX_WRITES ->
+                replicate(holder[leader], count);
+                if
+                :: count >= 2 && stamp[victim] == stamp[leader] -> voters = MEMBERS - 1
+                :: else -> skip
+                fi
+            :: leader != 255 && leaderReady && !voter[victim] && voters == MEMBERS - 1 && leaderWrites < MAX_WRITES ->
+                replicate(holder[leader], count);
+                if
+                :: count >= 2 && stamp[victim] == stamp[leader] ->
+                    voter[victim] = true;
+                    voters = MEMBERS
+                :: else -> skip
+                fi
+            :: else -> skip
+            fi;
+            count = 0
+        }
+    :: break
+    od
+}
+
+proctype Attempt(byte self) {
+    byte count;
+    bool reachable;
+    atomic { state[self] = asked }
+    /* Claim: the leader writes the holder if the key is free. */
+    do
+    :: atomic {
+        leader != 255 && leaderReady ->
+        if
+        :: holder[leader] == 0 ->
+            replicate(self + 1, count);
+            if
+#ifdef FAULT_EARLY_GRANT
+            :: true -> state[self] = granted
+#else
+            :: count > voters / 2 -> state[self] = granted
+            :: else -> leaderReady = false; leader = 255  /* steps down; the write may live on */
+#endif
+            fi;
+            break
+        :: holder[leader] == self + 1 ->
+            replicate(self + 1, count);
+            if
+            :: count > voters / 2 -> state[self] = granted
+            :: else -> leaderReady = false; leader = 255
+            fi;
+            break
+        :: else -> break
+        fi
+       }
+    :: break    /* no answer in time */
+    od;
+    /* The answer may come too late: the caller is told not-run and the claim is given back. */
+    if
+    :: state[self] == granted ->
+        if
+        :: atomic { true -> state[self] = dispatched; runs++; ran[self] = true }
+        :: atomic { true -> state[self] = givenUp; told[self] = true }
+        fi
+    :: state[self] == asked -> atomic { state[self] = givenUp; told[self] = true }
+    fi;
+#ifdef FAULT_LATE_DISPATCH
+    if
+    :: atomic { (state[self] == givenUp && leader != 255 && holder[leader] == self + 1) ->
+                state[self] = dispatched; runs++; ran[self] = true }
+    :: else -> skip
+    fi;
+#endif
+    if
+#ifdef FAULT_FREE_RELEASE
+    :: state[self] == givenUp || state[self] == dispatched ->
+#else
+    :: state[self] == givenUp ->
+#endif
+        atomic {
+            if
+            :: leader != 255 && leaderReady && holder[leader] == self + 1 ->
+                replicate(0, count);
+                if
+                :: count > voters / 2 -> state[self] = released
+                :: else -> leaderReady = false; leader = 255
+                fi
+            :: else -> skip
+            fi
+        }
+    :: else -> skip
+    fi
+}
+
+init {
+    byte i = 0;
+    atomic {
+        do
+        :: i < MEMBERS -> voter[i] = true; up[i] = true; i++
+        :: else -> break
+        od;
+        i = 0;
+        do
+        :: i < ATTEMPTS -> run Attempt(i); i++
+        :: else -> break
+        od
+    }
+}
+
+/* A booking runs at most once; what was told not-run did not run. */
+ltl atMostOnce { [] (runs <= 1) }
+ltl honest { [] (!(told[0] && ran[0]) && !(told[1] && ran[1])) }
--- a/src/common/JsonReader.cpp
+++ b/src/common/JsonReader.cpp
@@ -13,8 +13,8 @@
 
 void JsonProblems::add(const std::string &path, const std::string &what, const std::string &remedy)
 {
-    lines_.push_back(absl::StrCat(file_, ": ", path.empty() ? "/" : path, ": ", what, " (", remedy,
-                                  ")"));
+    lines_.push_back(
+        absl::StrCat(file_, ": ", path.empty() ? "/" : path, ": ", what, " (", remedy, ")"));
 }
 
 absl::Status JsonProblems::status(ErrorKind kind) const
@@ -57,8 +57,8 @@
     return Json::writeString(builder, value);
 }
 
-JsonObject::JsonObject(const Json::Value &value, std::string path, JsonProblems &problems) :
-    value_(value.isObject() ? value : nullValue), path_(std::move(path)), problems_(problems)
+JsonObject::JsonObject(const Json::Value &value, std::string path, JsonProblems &problems)
+    : value_(value.isObject() ? value : nullValue), path_(std::move(path)), problems_(problems)
 {
     if (!value.isObject()) {
         problems_.add(path_, "is not an object", "write { ... }");
@@ -94,8 +94,8 @@
     return member(key).isNull() ? fallback : text(key);
 }
 
-std::int64_t JsonObject::checkedInteger(const Json::Value &value, const char *key,
-                                        std::int64_t low, std::int64_t high)
+std::int64_t JsonObject::checkedInteger(const Json::Value &value, const char *key, std::int64_t low,
+                                        std::int64_t high)
 {
     if (value.isInt64() && value.asInt64() >= low && value.asInt64() <= high) {
         return value.asInt64();
--- a/src/common/LatencyRecorder.cpp
+++ b/src/common/LatencyRecorder.cpp
@@ -12,8 +12,8 @@
 
 } // namespace
 
-LatencyRecorder::LatencyRecorder() :
-    accumulator_(accumulators::extended_p_square_probabilities = quantiles)
+LatencyRecorder::LatencyRecorder()
+    : accumulator_(accumulators::extended_p_square_probabilities = quantiles)
 {
 }
 
--- a/src/common/Program.cpp
+++ b/src/common/Program.cpp
@@ -3,8 +3,8 @@
 #include "kumquat/Event.h"
 
 #include <csignal>
-#include <malloc.h>
 #include <cstdio>
+#include <malloc.h>
 #include <thread>
 
 namespace kumquat {
--- a/src/coordination/Attempt.cpp
+++ b/src/coordination/Attempt.cpp
@@ -28,8 +28,7 @@
 
 AttemptEnd endOf(ErrorCode error)
 {
-    const bool late
-        = error == beast::error::timeout || error == asio::error::operation_aborted;
+    const bool late = error == beast::error::timeout || error == asio::error::operation_aborted;
     return late ? AttemptEnd::timedOut : AttemptEnd::broken;
 }
 
--- a/src/coordination/Attempt.h
+++ b/src/coordination/Attempt.h
@@ -26,8 +26,8 @@
 /// What one worker thread owns.
 struct Worker
 {
-    Worker(asio::io_context &context, const EntryHooks &entryHooks, std::uint64_t seed) :
-        loop(context), pool(context), random(seed), hooks(entryHooks)
+    Worker(asio::io_context &context, const EntryHooks &entryHooks, std::uint64_t seed)
+        : loop(context), pool(context), random(seed), hooks(entryHooks)
     {
     }
     asio::io_context &loop;
--- a/src/coordination/Call.cpp
+++ b/src/coordination/Call.cpp
@@ -18,8 +18,8 @@
 {
     TargetConnection &connection = *result.connection;
     std::string part = std::move(result.response.body());
-    ErrorCode error = call.caller.writeHead(result.response.base(), connection.answerLength(),
-                                            yield);
+    ErrorCode error
+        = call.caller.writeHead(result.response.base(), connection.answerLength(), yield);
     while (!error) {
         const bool last = connection.answerWhole();
         error = call.caller.writePart(part, last, yield);
--- a/src/coordination/ControlClient.cpp
+++ b/src/coordination/ControlClient.cpp
@@ -17,9 +17,9 @@
 ControlClient::ControlClient(asio::io_context &context,
                              std::shared_ptr<Authenticator> authenticator,
                              std::vector<Address> members,
-                             std::shared_ptr<std::atomic<std::size_t>> leader) :
-    context_(context), client_(context, std::move(authenticator)), members_(std::move(members)),
-    leader_(std::move(leader))
+                             std::shared_ptr<std::atomic<std::size_t>> leader)
+    : context_(context), client_(context, std::move(authenticator)), members_(std::move(members)),
+      leader_(std::move(leader))
 {
 }
 
@@ -34,8 +34,8 @@
         const std::size_t position = leader_->load() % members_.size();
         const auto remaining
             = std::chrono::duration_cast<Milliseconds>(deadline - Clock::now()) + Milliseconds(1);
-        auto response = client_.post(members_[position], path, body, std::min(perTry, remaining),
-                                     yield);
+        auto response
+            = client_.post(members_[position], path, body, std::min(perTry, remaining), yield);
         if (response.ok() && response->result() != http::status::misdirected_request) {
             return response;
         }
@@ -72,8 +72,8 @@
 absl::StatusOr<std::optional<ConfigurationUpdate>>
 ControlClient::configuration(const ConfigurationPoll &poll, Milliseconds timeout, Yield yield)
 {
-    const auto response = callLeader(wire::configurationPath, pack(poll), Clock::now() + timeout,
-                                     timeout, yield);
+    const auto response
+        = callLeader(wire::configurationPath, pack(poll), Clock::now() + timeout, timeout, yield);
     if (!response.ok()) {
         return response.status();
     }
--- a/src/coordination/ControlProcess.cpp
+++ b/src/coordination/ControlProcess.cpp
@@ -10,8 +10,8 @@
 class Control : public ControlProcess
 {
 public:
-    Control(const ControlSettings &settings, const std::string &key) :
-        name_(settings.name), server_(settings, key)
+    Control(const ControlSettings &settings, const std::string &key)
+        : name_(settings.name), server_(settings, key)
     {
     }
 
--- a/src/coordination/ControlRpc.cpp
+++ b/src/coordination/ControlRpc.cpp
@@ -28,9 +28,9 @@
 class ControlRpc::Server : public jsonrpc::AbstractServer<ControlRpc::Server>
 {
 public:
-    Server(Connector &connector, ControlRpcHooks hooks) :
-        jsonrpc::AbstractServer<Server>(connector, jsonrpc::JSONRPC_SERVER_V2),
-        hooks_(std::move(hooks))
+    Server(Connector &connector, ControlRpcHooks hooks)
+        : jsonrpc::AbstractServer<Server>(connector, jsonrpc::JSONRPC_SERVER_V2),
+          hooks_(std::move(hooks))
     {
         add("form", &Server::form);
         add("status", &Server::status);
@@ -48,8 +48,7 @@
         bindAndAddMethod(procedure, method);
     }
 
-    static void run(const ControlRpcHooks::Method &method, const Json::Value &in,
-                    Json::Value &out)
+    static void run(const ControlRpcHooks::Method &method, const Json::Value &in, Json::Value &out)
     {
         try {
             out = method(in);
@@ -68,9 +67,9 @@
     ControlRpcHooks hooks_;
 };
 
-ControlRpc::ControlRpc(ControlRpcHooks hooks) :
-    connector_(std::make_unique<Connector>()),
-    server_(std::make_unique<Server>(*connector_, std::move(hooks)))
+ControlRpc::ControlRpc(ControlRpcHooks hooks)
+    : connector_(std::make_unique<Connector>()),
+      server_(std::make_unique<Server>(*connector_, std::move(hooks)))
 {
 }
 
--- a/src/coordination/ControlServer.cpp
+++ b/src/coordination/ControlServer.cpp
@@ -29,8 +29,8 @@
 
 } // namespace
 
-ControlServer::ControlServer(ControlSettings settings, const std::string &key) :
-    settings_(std::move(settings)), authenticator_(std::make_shared<Authenticator>(key))
+ControlServer::ControlServer(ControlSettings settings, const std::string &key)
+    : settings_(std::move(settings)), authenticator_(std::make_shared<Authenticator>(key))
 {
     server_ = std::make_shared<HttpServer>(
         loop_, [this](const HttpRequest &request, Yield yield) { return handle(request, yield); });
@@ -65,29 +65,26 @@
     GroupNodeHooks hooks;
     hooks.now = Clock::now;
     hooks.wallNow = wallTime;
-    hooks.send = [this](const std::string &to, const RaftMessage &message) {
-        links_->send(to, message);
-    };
+    hooks.send
+        = [this](const std::string &to, const RaftMessage &message) { links_->send(to, message); };
     hooks.applied = [this] {
         for (Timer *poll : polls_) {
             poll->cancel();
         }
     };
-    hooks.storeFailed = [](const absl::Status &status) {
-        KUMQUAT_ASSERT(false, std::string(status.message()));
-    };
-    hooks.runStore = [this](std::function<absl::Status()> work,
-                            std::function<void(absl::Status)> done) {
-        asio::post(diskLoop_, [this, work = std::move(work), done = std::move(done)] {
-            const absl::Status status = work();
-            asio::post(loop_, [done, status] { done(status); });
-        });
-    };
+    hooks.storeFailed
+        = [](const absl::Status &status) { KUMQUAT_ASSERT(false, std::string(status.message())); };
+    hooks.runStore
+        = [this](std::function<absl::Status()> work, std::function<void(absl::Status)> done) {
+              asio::post(diskLoop_, [this, work = std::move(work), done = std::move(done)] {
+                  const absl::Status status = work();
+                  asio::post(loop_, [done, status] { done(status); });
+              });
+          };
     Disk disk;
     absl::Status status = openFolder(settings_.dataFolder, disk);
     if (status.ok()) {
-        node_ = std::make_unique<GroupNode>(std::move(options), std::move(disk),
-                                            std::move(hooks));
+        node_ = std::make_unique<GroupNode>(std::move(options), std::move(disk), std::move(hooks));
         status = node_->start();
     }
     return status.ok() ? server_->listen(address_) : status;
@@ -130,8 +127,8 @@
 
 HttpResponse ControlServer::misdirected() const
 {
-    HttpResponse response = textResponse(http::status::misdirected_request, "not the leader\n",
-                                         "text/plain");
+    HttpResponse response
+        = textResponse(http::status::misdirected_request, "not the leader\n", "text/plain");
     response.set(leaderHeader, node_->raft().leaderAddress());
     return response;
 }
@@ -178,8 +175,8 @@
     return textResponse(http::status::ok, "");
 }
 
-absl::StatusOr<ControlResult> ControlServer::propose(ControlCommand command,
-                                                     Milliseconds patience, Yield yield)
+absl::StatusOr<ControlResult> ControlServer::propose(ControlCommand command, Milliseconds patience,
+                                                     Yield yield)
 {
     struct Pending
     {
--- a/src/coordination/EntryCoordinator.cpp
+++ b/src/coordination/EntryCoordinator.cpp
@@ -45,31 +45,29 @@
 
 EntryCoordinator::EntryCoordinator(EntryCore &core, EntrySettings settings,
                                    std::shared_ptr<Authenticator> authenticator,
-                                   std::shared_ptr<std::atomic<std::size_t>> leader) :
-    core_(core), settings_(std::move(settings)), authenticator_(std::move(authenticator)),
-    datagrams_(loop_, authenticator_), probeClient_(loop_, nullptr),
-    control_(loop_, authenticator_, parsed(settings_.controlMembers), std::move(leader)),
-    probeBudget_(configuration_.probesPerSecond, probeBurst)
+                                   std::shared_ptr<std::atomic<std::size_t>> leader)
+    : core_(core), settings_(std::move(settings)), authenticator_(std::move(authenticator)),
+      datagrams_(loop_, authenticator_), probeClient_(loop_, nullptr),
+      control_(loop_, authenticator_, parsed(settings_.controlMembers), std::move(leader)),
+      probeBudget_(configuration_.probesPerSecond, probeBurst)
 {
     GossipHooks hooks;
-    hooks.send = [this](const Address &to, const std::string &payload) {
-        datagrams_.send(to, payload);
-    };
+    hooks.send
+        = [this](const Address &to, const std::string &payload) { datagrams_.send(to, payload); };
     hooks.membershipChanged = [this] { publish(); };
-    hooks.targetRenewed = [this](const std::string &target) {
-        leases_[target].heardAt = Clock::now();
-    };
+    hooks.targetRenewed
+        = [this](const std::string &target) { leases_[target].heardAt = Clock::now(); };
     hooks.targetHealth = [this](const TargetHealth &health) {
         const TargetRecord *record = membership_.find(health.target);
         if (record != nullptr && record->incarnation == health.incarnation) {
             setReachable(*record, health.reachable, false);
         }
     };
-    hooks.requestSuspected = [this](const RequestSuspicion &suspicion) {
-        suspectRequest(suspicion);
-    };
-    hooks.peerChanged = [](const std::string &peer, bool live) {
+    hooks.requestSuspected
+        = [this](const RequestSuspicion &suspicion) { suspectRequest(suspicion); };
+    hooks.peerChanged = [this](const std::string &peer, bool live) {
         logEvent(live ? Event::peerUp : Event::peerDown, LogLevel::info, "peer={}", peer);
+        publish();
     };
     GossipOptions options;
     options.name = settings_.name;
@@ -403,6 +401,7 @@
     active->configuration = service;
     active->chooser = makeChooser(service.chooser);
     active->runtime = runtime;
+    active->entries = gossip_->livePeers() + 1;
     for (const TargetRecord &record : membership_.all()) {
         if (record.service == service.name && record.state <= TargetState::ready) {
             active->targets.push_back(std::make_shared<const Target>(
--- a/src/coordination/EntryProcess.cpp
+++ b/src/coordination/EntryProcess.cpp
@@ -18,10 +18,10 @@
 class Entry : public EntryProcess
 {
 public:
-    Entry(EntrySettings settings, const std::string &key) :
-        settings_(std::move(settings)), authenticator_(std::make_shared<Authenticator>(key)),
-        leader_(std::make_shared<std::atomic<std::size_t>>(0)),
-        coordinator_(core_, settings_, authenticator_, leader_)
+    Entry(EntrySettings settings, const std::string &key)
+        : settings_(std::move(settings)), authenticator_(std::make_shared<Authenticator>(key)),
+          leader_(std::make_shared<std::atomic<std::size_t>>(0)),
+          coordinator_(core_, settings_, authenticator_, leader_)
     {
         for (int i = 0; i < settings_.threads; ++i) {
             addWorker();
@@ -101,8 +101,8 @@
     // flight runs to its end.
     void drain()
     {
-        logEvent(Event::processStopping, LogLevel::info, "entry={} connections={}",
-                 settings_.name, core_.connections.load());
+        logEvent(Event::processStopping, LogLevel::info, "entry={} connections={}", settings_.name,
+                 core_.connections.load());
         std::this_thread::sleep_for(Milliseconds(settings_.stopGraceMs));
         for (auto &worker : workers_) {
             worker.drain();
--- a/src/coordination/EntryStatus.cpp
+++ b/src/coordination/EntryStatus.cpp
@@ -107,8 +107,7 @@
     addMetric(text, "configuration_number", "", static_cast<double>(routing->version.number));
     addMetric(text, "live_peers", "", static_cast<double>(gossip_->livePeers()));
     addMetric(text, "gossip_sent_bytes_total", "", static_cast<double>(datagrams_.sentBytes()));
-    addMetric(text, "gossip_held_back_total", "",
-              static_cast<double>(gossip_->droppedForBudget()));
+    addMetric(text, "gossip_held_back_total", "", static_cast<double>(gossip_->droppedForBudget()));
     addMetric(text, "probes_total", "", static_cast<double>(probesSent_));
     addMetric(text, "probes_held_back_total", "", static_cast<double>(probesHeldBack_));
     return text;
--- a/src/coordination/EntryWorker.cpp
+++ b/src/coordination/EntryWorker.cpp
@@ -29,9 +29,9 @@
 
 } // namespace
 
-EntryWorker::EntryWorker(EntryCore &core, int maxConnections, std::uint64_t seed) :
-    core_(core), maxConnections_(maxConnections), work_(asio::make_work_guard(loop_)),
-    worker_(loop_, core.hooks, seed), acceptor_(loop_)
+EntryWorker::EntryWorker(EntryCore &core, int maxConnections, std::uint64_t seed)
+    : core_(core), maxConnections_(maxConnections), work_(asio::make_work_guard(loop_)),
+      worker_(loop_, core.hooks, seed), acceptor_(loop_)
 {
 }
 
@@ -83,11 +83,11 @@
             continue;
         }
         ++core_.connections;
-        spawnOn(loop_, [this, socket = std::make_shared<TcpSocket>(
-                                  std::move(socket))](Yield inner) {
-            serve(std::move(*socket), inner);
-            --core_.connections;
-        });
+        spawnOn(loop_,
+                [this, socket = std::make_shared<TcpSocket>(std::move(socket))](Yield inner) {
+                    serve(std::move(*socket), inner);
+                    --core_.connections;
+                });
     }
 }
 
@@ -174,10 +174,8 @@
         refuse(call, RefusalReason::missingKey, RunOutcome::notRun, yield);
         return false;
     }
-    const auto limit
-        = static_cast<std::size_t>(call.service->configuration.maxRequestBytes);
-    const ErrorCode error
-        = call.caller.readBody(call.request.body(), limit, call.deadline, yield);
+    const auto limit = static_cast<std::size_t>(call.service->configuration.maxRequestBytes);
+    const ErrorCode error = call.caller.readBody(call.request.body(), limit, call.deadline, yield);
     if (error == http::error::body_limit) {
         refuse(call, RefusalReason::requestTooLarge, RunOutcome::notRun, yield);
         return false;
--- a/src/coordination/Gossip.cpp
+++ b/src/coordination/Gossip.cpp
@@ -41,9 +41,9 @@
 
 } // namespace
 
-Gossip::Gossip(GossipOptions options, Membership &membership, GossipHooks hooks) :
-    options_(std::move(options)), membership_(membership), hooks_(std::move(hooks)),
-    random_(options_.seed), budget_(options_.bytesPerSecond, options_.burstBytes)
+Gossip::Gossip(GossipOptions options, Membership &membership, GossipHooks hooks)
+    : options_(std::move(options)), membership_(membership), hooks_(std::move(hooks)),
+      random_(options_.seed), budget_(options_.bytesPerSecond, options_.burstBytes)
 {
     for (const Address &address : options_.peers) {
         Peer peer;
@@ -140,8 +140,7 @@
     }
 }
 
-void Gossip::spread(const TargetRecord &record, TimePoint now,
-                    std::function<void()> acknowledged)
+void Gossip::spread(const TargetRecord &record, TimePoint now, std::function<void()> acknowledged)
 {
     records_.push_front({ record, sendsPerItem() });
     GossipMessage message = newMessage();
--- a/src/coordination/GroupNode.cpp
+++ b/src/coordination/GroupNode.cpp
@@ -38,8 +38,8 @@
 
 } // namespace
 
-GroupNode::GroupNode(GroupNodeOptions options, Disk disk, GroupNodeHooks hooks) :
-    options_(std::move(options)), store_(std::move(disk)), hooks_(std::move(hooks))
+GroupNode::GroupNode(GroupNodeOptions options, Disk disk, GroupNodeHooks hooks)
+    : options_(std::move(options)), store_(std::move(disk)), hooks_(std::move(hooks))
 {
 }
 
--- a/src/coordination/GroupNode.h
+++ b/src/coordination/GroupNode.h
@@ -17,8 +17,7 @@
 
     /// Runs \p work, which writes to the disk, and then calls \p done with its result on the
     /// node's own thread. Work is never run twice or out of order.
-    std::function<void(std::function<absl::Status()> work,
-                       std::function<void(absl::Status)> done)>
+    std::function<void(std::function<absl::Status()> work, std::function<void(absl::Status)> done)>
         runStore;
 
     /// The state has changed by an entry of the log.
--- a/src/coordination/IdempotentCall.cpp
+++ b/src/coordination/IdempotentCall.cpp
@@ -10,6 +10,10 @@
 constexpr unsigned firstServerError = 500;
 constexpr Milliseconds minHedgeDelay { 20 };
 constexpr int hedgeLatencyFactor = 4;
+constexpr int maxSheds = 8;
+constexpr int shedsWithoutPause = 1;
+constexpr int longestShedShift = 4;
+constexpr Milliseconds firstShedPause { 2 };
 
 // The attempts of one request; they run as coroutines on the request's own event loop, so that
 // no locks are needed. It is shared because a cancelled attempt ends after the request does.
@@ -30,10 +34,10 @@
 class IdempotentCall
 {
 public:
-    explicit IdempotentCall(Call &call) :
-        call_(call), runtime_(*call.service->runtime),
-        group_(std::make_shared<AttemptGroup>(call.worker.loop)),
-        request_(std::make_shared<const HttpRequest>(call.request))
+    explicit IdempotentCall(Call &call)
+        : call_(call), runtime_(*call.service->runtime),
+          group_(std::make_shared<AttemptGroup>(call.worker.loop)),
+          request_(std::make_shared<const HttpRequest>(call.request))
     {
     }
 
@@ -41,7 +45,8 @@
 
 private:
     void start(const TargetPtr &target, bool onlyFresh);
-    bool tryAgain(bool counted, Yield yield);
+    bool tryAgain(Yield yield);
+    bool tryAfterShed(Yield yield);
     bool hedge();
     void wait(Yield yield);
     bool take(AttemptResult result, Yield yield);
@@ -56,6 +61,8 @@
     std::optional<HttpResponse> lastAnswer_;
     TimePoint hedgeAt_;
     RefusalReason reason_ = RefusalReason::retriesExhausted;
+    int failures_ = 0;
+    int sheds_ = 0;
     bool mayHaveRun_ = false;
     bool done_ = false;
 };
@@ -98,23 +105,48 @@
             });
 }
 
-bool IdempotentCall::tryAgain(bool counted, Yield yield)
+bool IdempotentCall::tryAgain(Yield yield)
 {
-    const int attempts = static_cast<int>(tried_.size());
-    if (attempts >= call_.service->configuration.retry.maxAttempts
-        || Clock::now() >= call_.deadline) {
+    ++failures_;
+    if (failures_ >= call_.service->configuration.retry.maxAttempts
+        || Clock::now() >= call_.deadline || !runtime_.retryBudget.trySpend()) {
+        return false;
+    }
+    const TargetPtr target
+        = waitForTarget(call_.worker, *call_.service, tried_, call_.deadline, reason_, yield);
+    if (!target) {
+        return false;
+    }
+    ++runtime_.counters.retries;
+    start(target, true);
+    return true;
+}
+
+// A shed answer says that the target was fuller than it seemed. The budget, which guards against
+// load from retries of failing work, is spared; a pause that grows keeps sheds from becoming a
+// load of their own, and every target may be tried again after it.
+bool IdempotentCall::tryAfterShed(Yield yield)
+{
+    if (++sheds_ > maxSheds) {
+        reason_ = RefusalReason::overloaded;
         return false;
     }
-    if (counted && !runtime_.retryBudget.trySpend()) {
+    const Clock::duration pause = firstShedPause * (1 << std::min(sheds_ - 1, longestShedShift));
+    if (Clock::now() + pause >= call_.deadline) {
+        reason_ = RefusalReason::overloaded;
         return false;
     }
-    const TargetPtr target = waitForTarget(call_.worker, *call_.service, tried_, call_.deadline,
-                                           reason_, yield);
+    if (sheds_ > shedsWithoutPause) {
+        pauseFor(call_.worker.loop, pause, yield);
+        tried_.clear();
+    }
+    const TargetPtr target
+        = waitForTarget(call_.worker, *call_.service, tried_, call_.deadline, reason_, yield);
     if (!target) {
         return false;
     }
     ++runtime_.counters.retries;
-    start(target, true);
+    start(target, false);
     return true;
 }
 
@@ -162,10 +194,8 @@
             return true;
         }
     }
-    // A shed answer cost the target little and is bounded by the attempts, so the budget, which
-    // guards against load from retries of failing work, is spared.
-    const bool counted = result.end != AttemptEnd::shed;
-    return !tryAgain(counted, yield) && group_->running == 0 && group_->results.empty();
+    const bool goesOn = result.end == AttemptEnd::shed ? tryAfterShed(yield) : tryAgain(yield);
+    return !goesOn && group_->running == 0 && group_->results.empty();
 }
 
 void IdempotentCall::finish(Yield)
--- a/src/coordination/Membership.cpp
+++ b/src/coordination/Membership.cpp
@@ -14,8 +14,7 @@
 // Renewals raise only the version and are not spread, so the version is left out.
 std::uint64_t recordHash(const TargetRecord &record)
 {
-    const std::uint64_t seed
-        = record.incarnation * 8 + static_cast<std::uint64_t>(record.state);
+    const std::uint64_t seed = record.incarnation * 8 + static_cast<std::uint64_t>(record.state);
     return XXH64(record.name.data(), record.name.size(), seed);
 }
 
--- a/src/coordination/OnceCall.cpp
+++ b/src/coordination/OnceCall.cpp
@@ -65,9 +65,9 @@
 class OnceDispatch
 {
 public:
-    OnceDispatch(Call &call, const std::string &key, std::shared_ptr<OnceState> state) :
-        worker_(call.worker), service_(call.service), deadline_(call.deadline),
-        request_(call.request), state_(std::move(state))
+    OnceDispatch(Call &call, const std::string &key, std::shared_ptr<OnceState> state)
+        : worker_(call.worker), service_(call.service), deadline_(call.deadline),
+          request_(call.request), state_(std::move(state))
     {
         message_.service = service_->configuration.name;
         message_.key = key;
@@ -242,8 +242,7 @@
     if (!state->finished) {
         state->abandoned = true;
         const bool mayHaveRun = state->dispatched || state->keyTaken;
-        refuse(call,
-               mayHaveRun ? RefusalReason::outcomeUnknown : RefusalReason::deadlineExceeded,
+        refuse(call, mayHaveRun ? RefusalReason::outcomeUnknown : RefusalReason::deadlineExceeded,
                mayHaveRun ? RunOutcome::unknown : RunOutcome::notRun, yield);
         return;
     }
--- a/src/coordination/OutlierEjection.cpp
+++ b/src/coordination/OutlierEjection.cpp
@@ -48,8 +48,8 @@
 
 } // namespace
 
-std::vector<EjectionEvent> OutlierEjection::judge(const ActiveService &service,
-                                                  double ejectedShare, TimePoint now)
+std::vector<EjectionEvent> OutlierEjection::judge(const ActiveService &service, double ejectedShare,
+                                                  TimePoint now)
 {
     std::vector<EjectionEvent> events;
     const double median = medianLatencyUs(service);
--- a/src/coordination/PeerLinks.cpp
+++ b/src/coordination/PeerLinks.cpp
@@ -14,8 +14,8 @@
 
 } // namespace
 
-PeerLinks::PeerLinks(asio::io_context &context, std::shared_ptr<Authenticator> authenticator) :
-    context_(context), client_(context, std::move(authenticator))
+PeerLinks::PeerLinks(asio::io_context &context, std::shared_ptr<Authenticator> authenticator)
+    : context_(context), client_(context, std::move(authenticator))
 {
 }
 
--- a/src/coordination/Raft.cpp
+++ b/src/coordination/Raft.cpp
@@ -18,10 +18,9 @@
     return names[static_cast<int>(role)];
 }
 
-Raft::Raft(RaftOptions options, GroupMember self, HardState hardState, RaftLog log,
-           TimePoint now) :
-    options_(options), self_(std::move(self)), hard_(hardState), log_(std::move(log)),
-    members_(log_.latestMembers()), random_(options_.seed)
+Raft::Raft(RaftOptions options, GroupMember self, HardState hardState, RaftLog log, TimePoint now)
+    : options_(options), self_(std::move(self)), hard_(hardState), log_(std::move(log)),
+      members_(log_.latestMembers()), random_(options_.seed)
 {
     commit_ = log_.snapshot().index;
     applied_ = commit_;
@@ -275,11 +274,11 @@
     if (message.to != self_.id || !acceptsEpoch(message)) {
         return;
     }
-    const bool isPreVote = message.type == RaftMessageType::preVote
-        || message.type == RaftMessageType::preVoteReply;
+    const bool isPreVote
+        = message.type == RaftMessageType::preVote || message.type == RaftMessageType::preVoteReply;
     if (message.term > hard_.term && !isPreVote) {
-        const bool fromLeader = message.type == RaftMessageType::append
-            || message.type == RaftMessageType::snapshot;
+        const bool fromLeader
+            = message.type == RaftMessageType::append || message.type == RaftMessageType::snapshot;
         const bool disturbs = message.type == RaftMessageType::vote
             && now - leaderHeardAt_ < options_.electionLow && leader_ != 0;
         if (disturbs) {
@@ -326,8 +325,8 @@
     const bool preVote = message.type == RaftMessageType::preVote;
     RaftMessage reply = this->message(
         preVote ? RaftMessageType::preVoteReply : RaftMessageType::voteReply, message.from);
-    const bool leaderAlive = leads() ? holdsLease(now)
-                                     : leader_ != 0 && now - leaderHeardAt_ < options_.electionLow;
+    const bool leaderAlive
+        = leads() ? holdsLease(now) : leader_ != 0 && now - leaderHeardAt_ < options_.electionLow;
     if (preVote) {
         reply.granted = message.term > hard_.term && upToDate(message) && !leaderAlive;
         reply.term = reply.granted ? message.term : hard_.term;
--- a/src/coordination/ServiceRuntime.cpp
+++ b/src/coordination/ServiceRuntime.cpp
@@ -35,7 +35,7 @@
     for (std::size_t step = 0; step < scanned; ++step) {
         const std::size_t index = (start + step) % count;
         const Target &target = *service.targets[index];
-        const int limit = targetLimit(target, service.configuration.limits.slotsFactor, now);
+        const int limit = service.limitAt(target, now);
         const int inFlight = target.stats->inFlight();
         if (!isUsable(target, now) || inFlight >= limit || contains(tried, target.record.name)) {
             continue;
@@ -118,7 +118,7 @@
     while (!list.empty()) {
         const std::size_t position = service.chooser(list, random());
         const TargetPtr &target = service.targets[list[position].index];
-        const int limit = targetLimit(*target, service.configuration.limits.slotsFactor, now);
+        const int limit = service.limitAt(*target, now);
         if (target->stats->tryAcquire(limit)) {
             return target;
         }
@@ -145,7 +145,7 @@
     std::int64_t places = 0;
     for (const TargetPtr &target : service.targets) {
         if (isUsable(*target, now)) {
-            places += targetLimit(*target, service.configuration.limits.slotsFactor, now);
+            places += service.limitAt(*target, now);
         }
     }
     const auto ahead = static_cast<std::int64_t>(service.runtime->waiting()) + 1;
--- a/src/coordination/ServiceRuntime.h
+++ b/src/coordination/ServiceRuntime.h
@@ -77,6 +77,12 @@
     Chooser chooser;
     std::shared_ptr<ServiceRuntime> runtime;
     std::vector<TargetPtr> targets;
+    std::size_t entries = 1; ///< live entries that share the targets, this one included
+
+    int limitAt(const Target &target, TimePoint now) const
+    {
+        return targetLimit(target, configuration.limits.slotsFactor, entries, now);
+    }
 };
 
 /// Takes a place at the best target that is not in \p tried; null when none has one.
--- a/src/coordination/Target.cpp
+++ b/src/coordination/Target.cpp
@@ -87,16 +87,20 @@
     errorRate_.store(0);
 }
 
-int targetLimit(const Target &target, double slotsFactor, TimePoint now)
+// Example: 2 slots, factor 2, 6 entries -> 1 each, so that 6 requests at the most are there, of
+// which 2 run. Without the share each entry alone could fill the target, and at high load most
+// requests would be shed (docs/DESIGN.md, choice of target).
+int targetLimit(const Target &target, double slotsFactor, std::size_t entries, TimePoint now)
 {
-    const double full = std::max(1.0, std::ceil(target.record.slots * slotsFactor));
+    const double share = target.record.slots * slotsFactor / static_cast<double>(entries);
+    const double full = std::max(1.0, std::ceil(share));
     const Milliseconds cold = target.stats->ramp();
     const auto age = now - target.stats->readySince();
     if (cold.count() == 0 || age >= cold) {
         return static_cast<int>(full);
     }
-    const double share = toMilliseconds(age) / toMilliseconds(cold);
-    return static_cast<int>(std::max(1.0, std::floor(full * share)));
+    const double warm = toMilliseconds(age) / toMilliseconds(cold);
+    return static_cast<int>(std::max(1.0, std::floor(full * warm)));
 }
 
 bool isUsable(const Target &target, TimePoint now)
--- a/src/coordination/Target.h
+++ b/src/coordination/Target.h
@@ -106,8 +106,9 @@
 
 using TargetPtr = std::shared_ptr<const Target>;
 
-/// Requests this entry may have in flight at \p target, lower while it warms up.
-int targetLimit(const Target &target, double slotsFactor, TimePoint now);
+/// Requests this entry may have in flight at \p target: its share of slots * \p slotsFactor among
+/// \p entries live entries, at least one; lower while the target warms up.
+int targetLimit(const Target &target, double slotsFactor, std::size_t entries, TimePoint now);
 
 /// True when new work may go to \p target at all.
 bool isUsable(const Target &target, TimePoint now);
--- a/src/coordination/TokenBucket.h
+++ b/src/coordination/TokenBucket.h
@@ -13,8 +13,8 @@
 {
 public:
     /// \p perSecond tokens flow in, at most \p burst are saved.
-    TokenBucket(double perSecond, double burst) :
-        perSecond_(perSecond), burst_(burst), tokens_(burst)
+    TokenBucket(double perSecond, double burst)
+        : perSecond_(perSecond), burst_(burst), tokens_(burst)
     {
     }
 
--- a/src/coordination/UploadCall.cpp
+++ b/src/coordination/UploadCall.cpp
@@ -32,8 +32,8 @@
     return connection.sendPart("", true, yield) ? BodyEnd::targetBroke : BodyEnd::whole;
 }
 
-void answerUpload(Call &call, const TargetPtr &target,
-                  std::unique_ptr<TargetConnection> connection, BodyEnd bodyEnd, Yield yield)
+void answerUpload(Call &call, const TargetPtr &target, std::unique_ptr<TargetConnection> connection,
+                  BodyEnd bodyEnd, Yield yield)
 {
     connection->setDeadline(call.deadline);
     ErrorCode error = connection->readHead(false, yield);
--- a/src/protocol/Announcement.cpp
+++ b/src/protocol/Announcement.cpp
@@ -13,8 +13,8 @@
 TargetState readState(JsonObject &object, JsonProblems &problems)
 {
     const std::string name = object.text("state", "ready");
-    for (const TargetState state : { TargetState::starting, TargetState::ready,
-                                     TargetState::draining, TargetState::gone }) {
+    for (const TargetState state :
+         { TargetState::starting, TargetState::ready, TargetState::draining, TargetState::gone }) {
         if (name == targetStateName(state)) {
             return state;
         }
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -18,8 +18,8 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(asio::io_context &context, TcpSocket socket) :
-    context_(context), stream_(std::move(socket)), buffer_(maxHeaderBytes + partBytes)
+CallerConnection::CallerConnection(asio::io_context &context, TcpSocket socket)
+    : context_(context), stream_(std::move(socket)), buffer_(maxHeaderBytes + partBytes)
 {
 }
 
@@ -225,16 +225,15 @@
 {
     const std::weak_ptr<std::function<void()>> departure = departure_;
     stream_.socket().async_wait(
-        TcpSocket::wait_read,
-        [self = shared_from_this(), departure](ErrorCode error) {
+        TcpSocket::wait_read, [self = shared_from_this(), departure](ErrorCode error) {
             const auto callback = departure.lock();
             if (!callback || error) {
                 return;
             }
             // Bytes that wait are the caller's next request; an end or an error is its departure.
             char byte = 0;
-            const auto seen = ::recv(self->stream_.socket().native_handle(), &byte, 1,
-                                     MSG_PEEK | MSG_DONTWAIT);
+            const auto seen
+                = ::recv(self->stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
             if (seen == 0 || (seen < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
                 (*callback)();
             }
--- a/src/protocol/Codec.h
+++ b/src/protocol/Codec.h
@@ -11,6 +11,10 @@
 
 namespace kumquat {
 
+namespace internal {
+constexpr std::size_t maxDepth = 32;
+} // namespace internal
+
 template <typename Message>
 std::string pack(const Message &message)
 {
@@ -24,7 +28,11 @@
 absl::StatusOr<Message> unpack(const std::string &bytes)
 {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        // No part can hold more items than there are bytes, whatever its header claims.
+        const std::size_t most = bytes.size();
+        const msgpack::unpack_limit limit(most, most, most, most, most, internal::maxDepth);
+        const msgpack::object_handle handle
+            = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
         Message message;
         handle.get().convert(message);
         return message;
--- a/src/protocol/Headers.cpp
+++ b/src/protocol/Headers.cpp
@@ -56,8 +56,8 @@
     const std::string_view text = valueOf(fields, wire::load);
     LoadReport report;
     int read = 0;
-    for (const absl::string_view part : absl::StrSplit(absl::string_view(text.data(), text.size()),
-                                                       ';')) {
+    for (const absl::string_view part :
+         absl::StrSplit(absl::string_view(text.data(), text.size()), ';')) {
         const std::pair<absl::string_view, absl::string_view> pair
             = absl::StrSplit(part, absl::MaxSplits('=', 1));
         int value = 0;
--- a/src/protocol/RaftMessage.h
+++ b/src/protocol/RaftMessage.h
@@ -83,8 +83,8 @@
     std::vector<LogEntry> entries;
     LogSnapshot snapshot;
     GroupMember joining;
-    MSGPACK_DEFINE(type, epoch, term, from, fromAddress, to, index, logTerm, commit, round, granted, entries,
-                   snapshot, joining)
+    MSGPACK_DEFINE(type, epoch, term, from, fromAddress, to, index, logTerm, commit, round, granted,
+                   entries, snapshot, joining)
 };
 
 } // namespace kumquat
--- a/src/protocol/Refusal.cpp
+++ b/src/protocol/Refusal.cpp
@@ -22,7 +22,8 @@
         { "malformed-request", http::status::bad_request, nullptr, "send well-formed HTTP/1.1" },
         { "request-too-large", http::status::payload_too_large, nullptr,
           "send less, or use an upload route" },
-        { "no-route", http::status::not_found, nullptr, "use a path and method that a service has" },
+        { "no-route", http::status::not_found, nullptr,
+          "use a path and method that a service has" },
         { "not-ready", http::status::service_unavailable, "1", "send it to another entry" },
         { "missing-key", http::status::bad_request, nullptr,
           "send an Idempotency-Key of 1 to 128 visible ASCII characters" },
@@ -54,10 +55,10 @@
 {
     const RefusalText &text = refusalText(reason);
     const char *outcomeName = outcome == RunOutcome::notRun ? "not-run" : "unknown";
-    HttpResponse response = textResponse(
-        text.status,
-        absl::StrCat("{\"outcome\":\"", outcomeName, "\",\"reason\":\"", text.name,
-                     "\",\"remedy\":\"", text.remedy, "\"}\n"));
+    HttpResponse response
+        = textResponse(text.status,
+                       absl::StrCat("{\"outcome\":\"", outcomeName, "\",\"reason\":\"", text.name,
+                                    "\",\"remedy\":\"", text.remedy, "\"}\n"));
     response.set(wire::outcome, outcomeName);
     response.set(wire::reason, text.name);
     if (text.retryAfterSeconds != nullptr) {
--- a/src/protocol/TargetConnection.cpp
+++ b/src/protocol/TargetConnection.cpp
@@ -14,8 +14,8 @@
 
 } // namespace
 
-TargetConnection::TargetConnection(asio::io_context &context, Address address) :
-    address_(std::move(address)), stream_(context), buffer_(maxHeaderBytes + partBytes)
+TargetConnection::TargetConnection(asio::io_context &context, Address address)
+    : address_(std::move(address)), stream_(context), buffer_(maxHeaderBytes + partBytes)
 {
 }
 
@@ -89,8 +89,8 @@
         }
         if (parser_->get().result_int() >= 200) {
             // An answer that only the connection's end delimits cannot be told from a cut one.
-            const bool endless = !parser_->is_done() && !parser_->chunked()
-                && !parser_->content_length();
+            const bool endless
+                = !parser_->is_done() && !parser_->chunked() && !parser_->content_length();
             return endless ? ErrorCode(http::error::bad_content_length) : error;
         }
     }
@@ -136,8 +136,7 @@
 bool TargetConnection::isStale()
 {
     char byte = 0;
-    const auto seen
-        = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto seen = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return seen >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
--- a/src/protocol/TargetPool.cpp
+++ b/src/protocol/TargetPool.cpp
@@ -2,8 +2,7 @@
 
 namespace kumquat {
 
-std::unique_ptr<TargetConnection> TargetPool::takeIdle(const Address &address,
-                                                       TimePoint newerThan)
+std::unique_ptr<TargetConnection> TargetPool::takeIdle(const Address &address, TimePoint newerThan)
 {
     const auto found = idle_.find(address);
     if (found == idle_.end()) {
--- a/src/state/Configuration.cpp
+++ b/src/state/Configuration.cpp
@@ -121,9 +121,8 @@
     service.routes = readRoutes(object, problems);
     service.deadline = object.milliseconds("deadlineMs", Milliseconds(1), Milliseconds(3'600'000),
                                            service.deadline);
-    service.uploadIdleTimeout = object.milliseconds("uploadIdleTimeoutMs", Milliseconds(10),
-                                                    Milliseconds(600'000),
-                                                    service.uploadIdleTimeout);
+    service.uploadIdleTimeout = object.milliseconds(
+        "uploadIdleTimeoutMs", Milliseconds(10), Milliseconds(600'000), service.uploadIdleTimeout);
     service.maxRequestBytes
         = object.integer("maxRequestBytes", 1, 64 * 1024 * 1024, service.maxRequestBytes);
     service.chooser = object.text("chooser", service.chooser);
--- a/src/state/ConfigurationHistory.cpp
+++ b/src/state/ConfigurationHistory.cpp
@@ -16,8 +16,7 @@
 
 } // namespace
 
-std::vector<FileWrite> changedFiles(std::vector<FileWrite> files,
-                                    const ConfigurationChange &change)
+std::vector<FileWrite> changedFiles(std::vector<FileWrite> files, const ConfigurationChange &change)
 {
     for (const std::string &name : change.removals) {
         removeFile(files, name);
@@ -26,9 +25,8 @@
         removeFile(files, write.name);
         files.push_back(write);
     }
-    std::sort(files.begin(), files.end(), [](const FileWrite &left, const FileWrite &right) {
-        return left.name < right.name;
-    });
+    std::sort(files.begin(), files.end(),
+              [](const FileWrite &left, const FileWrite &right) { return left.name < right.name; });
     return files;
 }
 
--- a/src/state/RecordFile.cpp
+++ b/src/state/RecordFile.cpp
@@ -61,8 +61,7 @@
 {
     const std::uint32_t length
         = boost::endian::native_to_little(static_cast<std::uint32_t>(bytes.size()));
-    const std::uint32_t crc
-        = boost::endian::native_to_little(checksum(bytes.data(), bytes.size()));
+    const std::uint32_t crc = boost::endian::native_to_little(checksum(bytes.data(), bytes.size()));
     std::string framed(headerBytes, '\0');
     std::memcpy(&framed[0], &length, sizeof(length));
     std::memcpy(&framed[4], &crc, sizeof(crc));
--- a/src/transport/Asio.h
+++ b/src/transport/Asio.h
@@ -31,9 +31,9 @@
 using TcpAcceptor = asio::basic_socket_acceptor<asio::ip::tcp, LoopExecutor>;
 using UdpSocket = asio::basic_datagram_socket<asio::ip::udp, LoopExecutor>;
 using TcpStream = beast::basic_stream<asio::ip::tcp, LoopExecutor>;
-using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
-                                         asio::wait_traits<std::chrono::steady_clock>,
-                                         LoopExecutor>;
+using Timer
+    = asio::basic_waitable_timer<std::chrono::steady_clock,
+                                 asio::wait_traits<std::chrono::steady_clock>, LoopExecutor>;
 using Yield = asio::basic_yield_context<asio::executor_binder<void (*)(), LoopExecutor>>;
 
 } // namespace kumquat
--- a/src/transport/Authenticator.cpp
+++ b/src/transport/Authenticator.cpp
@@ -23,8 +23,8 @@
 
 } // namespace
 
-Authenticator::Authenticator(std::string key, WallNow wallNow) :
-    key_(std::move(key)), wallNow_(std::move(wallNow)), random_(randomSeed())
+Authenticator::Authenticator(std::string key, WallNow wallNow)
+    : key_(std::move(key)), wallNow_(std::move(wallNow)), random_(randomSeed())
 {
 }
 
--- a/src/transport/DatagramSocket.cpp
+++ b/src/transport/DatagramSocket.cpp
@@ -12,8 +12,8 @@
 } // namespace
 
 DatagramSocket::DatagramSocket(asio::io_context &context,
-                               std::shared_ptr<Authenticator> authenticator) :
-    socket_(context), authenticator_(std::move(authenticator)), buffer_(receiveBytes)
+                               std::shared_ptr<Authenticator> authenticator)
+    : socket_(context), authenticator_(std::move(authenticator)), buffer_(receiveBytes)
 {
 }
 
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -25,8 +25,8 @@
     return authenticator.verify(std::string(request[authHeader]), signedText(request));
 }
 
-HttpClient::HttpClient(asio::io_context &context, std::shared_ptr<Authenticator> authenticator) :
-    context_(context), authenticator_(std::move(authenticator))
+HttpClient::HttpClient(asio::io_context &context, std::shared_ptr<Authenticator> authenticator)
+    : context_(context), authenticator_(std::move(authenticator))
 {
 }
 
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -25,8 +25,7 @@
     return response;
 }
 
-absl::Status openAcceptor(TcpAcceptor &acceptor, const Address &address,
-                          bool sharedPort)
+absl::Status openAcceptor(TcpAcceptor &acceptor, const Address &address, bool sharedPort)
 {
     ErrorCode error;
     acceptor.open(asio::ip::tcp::v4(), error);
@@ -47,8 +46,8 @@
     return absl::OkStatus();
 }
 
-HttpServer::HttpServer(asio::io_context &context, HttpHandler handler) :
-    context_(context), handler_(std::move(handler)), acceptor_(context)
+HttpServer::HttpServer(asio::io_context &context, HttpHandler handler)
+    : context_(context), handler_(std::move(handler)), acceptor_(context)
 {
 }
 
@@ -84,9 +83,8 @@
             continue;
         }
         stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
-        spawnOn(context_, [self = shared_from_this(), stream](Yield inner) {
-            self->serve(stream, inner);
-        });
+        spawnOn(context_,
+                [self = shared_from_this(), stream](Yield inner) { self->serve(stream, inner); });
     }
 }
 
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -22,8 +22,7 @@
 
 /// Opens a listening socket; fails with ErrorKind::badSettings when the address cannot be had.
 /// With \p sharedPort several threads may each listen on the same address.
-absl::Status openAcceptor(TcpAcceptor &acceptor, const Address &address,
-                          bool sharedPort);
+absl::Status openAcceptor(TcpAcceptor &acceptor, const Address &address, bool sharedPort);
 
 class HttpServer : public std::enable_shared_from_this<HttpServer>
 {
--- a/test/failure/GossipSpreads.cpp
+++ b/test/failure/GossipSpreads.cpp
@@ -23,8 +23,7 @@
     world.run(settle);
     const TimePoint start = world.now();
     for (std::size_t entry = 1; entry < world.size(); ++entry) {
-        const bool confirmed
-            = world.announce(entry, targetRecord("a", 1, TargetState::draining));
+        const bool confirmed = world.announce(entry, targetRecord("a", 1, TargetState::draining));
         if (entry == 1) {
             world.entry(1).alive = false;
         }
@@ -53,8 +52,8 @@
     world.run(settle);
     world.setLoss(1);
     for (int i = 0; i < 200; ++i) {
-        world.entry(0).membership.merge(
-            targetRecord(absl::StrCat("t", i), 1, TargetState::ready), world.now());
+        world.entry(0).membership.merge(targetRecord(absl::StrCat("t", i), 1, TargetState::ready),
+                                        world.now());
     }
     world.run(Seconds(1));
     world.setLoss(0.1);
--- a/test/failure/GossipWorld.cpp
+++ b/test/failure/GossipWorld.cpp
@@ -30,8 +30,8 @@
     return record;
 }
 
-GossipWorld::GossipWorld(std::size_t count, std::uint64_t seed, double bytesPerSecond) :
-    random_(seed)
+GossipWorld::GossipWorld(std::size_t count, std::uint64_t seed, double bytesPerSecond)
+    : random_(seed)
 {
     for (std::size_t index = 0; index < count; ++index) {
         entries_.push_back(std::make_unique<Entry>());
@@ -77,8 +77,8 @@
 
 void GossipWorld::deliverDue()
 {
-    const auto due = std::stable_partition(
-        flying_.begin(), flying_.end(), [this](const Datagram &item) { return item.at > now_; });
+    const auto due = std::stable_partition(flying_.begin(), flying_.end(),
+                                           [this](const Datagram &item) { return item.at > now_; });
     const std::vector<Datagram> arriving(due, flying_.end());
     flying_.erase(due, flying_.end());
     for (const Datagram &datagram : arriving) {
@@ -127,8 +127,8 @@
 
 std::size_t GossipWorld::alive() const
 {
-    return static_cast<std::size_t>(std::count_if(
-        entries_.begin(), entries_.end(), [](const auto &entry) { return entry->alive; }));
+    return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(),
+                                                  [](const auto &entry) { return entry->alive; }));
 }
 
 } // namespace kumquat::test
--- a/test/failure/GroupWorld.cpp
+++ b/test/failure/GroupWorld.cpp
@@ -94,8 +94,8 @@
 
 // The world.
 
-GroupWorld::GroupWorld(WorldOptions options) :
-    options_(options), random_(options.seed), members_(static_cast<std::size_t>(options.members))
+GroupWorld::GroupWorld(WorldOptions options)
+    : options_(options), random_(options.seed), members_(static_cast<std::size_t>(options.members))
 {
     for (int member = 0; member < options_.members; ++member) {
         if (options_.ignoreSyncs) {
@@ -143,9 +143,8 @@
     }
     GroupNodeHooks hooks;
     hooks.now = [this] { return now_; };
-    hooks.wallNow = [this] {
-        return std::chrono::duration_cast<Milliseconds>(now_.time_since_epoch());
-    };
+    hooks.wallNow
+        = [this] { return std::chrono::duration_cast<Milliseconds>(now_.time_since_epoch()); };
     hooks.send = [this, index](const std::string &to, const RaftMessage &message) {
         deliver(index, to, message);
     };
@@ -355,8 +354,8 @@
     ++grants_;
     const auto held = holder_.emplace(key, attempt).first;
     if (held->second != attempt && !released_[held->second]) {
-        violate(absl::StrCat("key ", key, " was granted to attempts ", held->second, " and ",
-                             attempt));
+        violate(
+            absl::StrCat("key ", key, " was granted to attempts ", held->second, " and ", attempt));
     }
     held->second = attempt;
 }
--- /dev/null
+++ b/test/fuzz/Messages.cpp
@@ -0,0 +1,33 @@
+// Any bytes as a message between the system's own processes, and as a log file.
+#include "coordination/Gossip.h"
+#include "coordination/PeerLinks.h"
+#include "protocol/Codec.h"
+#include "protocol/OnceMessages.h"
+#include "state/RecordFile.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    using namespace kumquat;
+    const std::string bytes(reinterpret_cast<const char *>(data), size);
+    (void)unpack<RaftBatch>(bytes);
+    (void)unpack<OnceRequest>(bytes);
+    const RecordFileContent content = readRecords(bytes);
+    if (content.goodBytes > size) {
+        __builtin_trap();
+    }
+    Membership membership;
+    GossipHooks hooks;
+    hooks.send = [](const Address &, const std::string &) {};
+    hooks.membershipChanged = [] {};
+    hooks.targetRenewed = [](const std::string &) {};
+    hooks.targetHealth = [](const TargetHealth &) {};
+    hooks.requestSuspected = [](const RequestSuspicion &) {};
+    hooks.peerChanged = [](const std::string &, bool) {};
+    GossipOptions options;
+    options.name = "entry-1";
+    options.address = { "127.0.0.1", 1 };
+    options.peers = { { "127.0.0.1", 2 } };
+    Gossip gossip(options, membership, hooks);
+    gossip.receive(bytes, TimePoint(Seconds(1)));
+    return 0;
+}
--- a/tools/load/Caller.cpp
+++ b/tools/load/Caller.cpp
@@ -27,9 +27,9 @@
     TimePoint usedAt {};
 };
 
-Caller::Caller(asio::io_context &context, CallerOptions options) :
-    context_(context), options_(std::move(options)), idle_(options_.entries.size()),
-    ready_(options_.entries.size(), true)
+Caller::Caller(asio::io_context &context, CallerOptions options)
+    : context_(context), options_(std::move(options)), idle_(options_.entries.size()),
+      ready_(options_.entries.size(), true)
 {
 }
 
--- a/tools/load/Main.cpp
+++ b/tools/load/Main.cpp
@@ -49,9 +49,8 @@
     value["p99"] = quantile(latencies, 0.99);
     value["p999"] = quantile(latencies, 0.999);
     value["max"] = latencies.empty() ? 0 : latencies.back();
-    value["mean"] = latencies.empty()
-        ? 0
-        : std::accumulate(latencies.begin(), latencies.end(), 0.0)
+    value["mean"] = latencies.empty() ? 0
+                                      : std::accumulate(latencies.begin(), latencies.end(), 0.0)
             / static_cast<double>(latencies.size());
     return value;
 }
@@ -102,9 +101,10 @@
 void printTable(const Json::Value &result)
 {
     std::cout << std::left << std::setw(20) << "kind" << std::right << std::setw(8) << "sent"
-              << std::setw(9) << "answered" << std::setw(8) << "refused" << std::setw(8)
-              << "broken" << std::setw(9) << "p50 ms" << std::setw(9) << "p99 ms" << std::setw(10)
-              << "p99.9 ms" << std::setw(7) << "wrong" << std::setw(8) << "partial" << "\n";
+              << std::setw(9) << "answered" << std::setw(8) << "refused" << std::setw(8) << "broken"
+              << std::setw(9) << "p50 ms" << std::setw(9) << "p99 ms" << std::setw(10) << "p99.9 ms"
+              << std::setw(7) << "wrong" << std::setw(8) << "partial"
+              << "\n";
     std::cout << std::fixed << std::setprecision(2);
     for (const std::string &kind : result["kinds"].getMemberNames()) {
         const Json::Value &row = result["kinds"][kind];
@@ -117,8 +117,8 @@
                   << std::setw(8) << refused << std::setw(8) << row["broken"].asUInt64()
                   << std::setw(9) << row["latencyMs"]["p50"].asDouble() << std::setw(9)
                   << row["latencyMs"]["p99"].asDouble() << std::setw(10)
-                  << row["latencyMs"]["p999"].asDouble() << std::setw(7)
-                  << row["wrong"].asUInt64() << std::setw(8) << row["partial"].asUInt64() << "\n";
+                  << row["latencyMs"]["p999"].asDouble() << std::setw(7) << row["wrong"].asUInt64()
+                  << std::setw(8) << row["partial"].asUInt64() << "\n";
         for (const std::string &reason : row["refused"].getMemberNames()) {
             std::cout << "    refused " << reason << ": " << row["refused"][reason] << "\n";
         }
@@ -141,9 +141,8 @@
     }
     HttpRequest request(http::verb::get, "/report", 11);
     const auto response = blockingCall(*address, std::move(request), nullptr, Seconds(10));
-    const auto report = response.ok()
-        ? parseJson("report", response->body(), ErrorKind::badMessage)
-        : absl::StatusOr<Json::Value>(response.status());
+    const auto report = response.ok() ? parseJson("report", response->body(), ErrorKind::badMessage)
+                                      : absl::StatusOr<Json::Value>(response.status());
     if (!report.ok()) {
         std::cerr << report.status().message() << "\n";
         return false;
--- a/tools/standin/Behaviour.cpp
+++ b/tools/standin/Behaviour.cpp
@@ -9,8 +9,8 @@
     JsonProblems problems("behaviour");
     JsonObject object(changes, "", problems);
     behaviour.meanWorkMs = object.number("meanWorkMs", 0, 60'000, behaviour.meanWorkMs);
-    const std::string shape = object.text(
-        "shape", behaviour.shape == WorkShape::fixed ? "fixed" : "exponential");
+    const std::string shape
+        = object.text("shape", behaviour.shape == WorkShape::fixed ? "fixed" : "exponential");
     behaviour.shape = shape == "fixed" ? WorkShape::fixed : WorkShape::exponential;
     behaviour.slots = static_cast<int>(object.integer("slots", 1, 10'000, behaviour.slots));
     behaviour.queue = static_cast<int>(object.integer("queue", 0, 100'000, behaviour.queue));
@@ -24,8 +24,7 @@
     behaviour.silent = object.integer("silent", 0, 1, behaviour.silent ? 1 : 0) != 0;
     behaviour.crashOnPoison
         = object.integer("crashOnPoison", 0, 1, behaviour.crashOnPoison ? 1 : 0) != 0;
-    behaviour.healthFails
-        = object.integer("healthFails", 0, 1, behaviour.healthFails ? 1 : 0) != 0;
+    behaviour.healthFails = object.integer("healthFails", 0, 1, behaviour.healthFails ? 1 : 0) != 0;
     object.finish();
     return problems.status(ErrorKind::badMessage);
 }
--- a/tools/standin/Main.cpp
+++ b/tools/standin/Main.cpp
@@ -109,8 +109,8 @@
     ++target.record().version;
     HttpRequest request(http::verb::put, wire::targetsPath + target.record().name, 11);
     request.body() = writeAnnouncement(target.record());
-    const auto answer = client_.send(entries_[entry % entries_.size()], std::move(request),
-                                     announceTime, yield);
+    const auto answer
+        = client_.send(entries_[entry % entries_.size()], std::move(request), announceTime, yield);
     return answer.ok() && answer->result() == http::status::ok;
 }
 
@@ -225,9 +225,10 @@
     if (!built.ok()) {
         return failProgram(built);
     }
-    const auto admin = std::make_shared<HttpServer>(
-        context,
-        [&fleet](const HttpRequest &request, Yield yield) { return fleet.handle(request, yield); });
+    const auto admin
+        = std::make_shared<HttpServer>(context, [&fleet](const HttpRequest &request, Yield yield) {
+              return fleet.handle(request, yield);
+          });
     const auto address = parseAddress(FLAGS_admin);
     const absl::Status listening = address.ok() ? admin->listen(*address) : address.status();
     if (!listening.ok()) {
--- a/tools/standin/StandinTarget.cpp
+++ b/tools/standin/StandinTarget.cpp
@@ -27,9 +27,9 @@
 } // namespace
 
 StandinTarget::StandinTarget(asio::io_context &context, TargetRecord record, Behaviour behaviour,
-                             RunLedger &ledger, std::uint64_t seed) :
-    context_(context), record_(std::move(record)), behaviour_(behaviour), ledger_(ledger),
-    random_(seed), acceptor_(context)
+                             RunLedger &ledger, std::uint64_t seed)
+    : context_(context), record_(std::move(record)), behaviour_(behaviour), ledger_(ledger),
+      random_(seed), acceptor_(context)
 {
     behaviour_.slots = record_.slots;
     behaviour_.queue = 2 * record_.slots;
@@ -75,8 +75,7 @@
 
 void StandinTarget::serve(const std::shared_ptr<Connection> &connection, Yield yield)
 {
-    while (answerOne(*connection, yield)) {
-    }
+    while (answerOne(*connection, yield)) { }
     connections_.erase(connection);
 }
 
@@ -108,8 +107,8 @@
         shiftUntil_ = now + Microseconds(static_cast<int>(behaviour_.shiftLengthMs * 1000));
         nextShift_ = shiftUntil_ + Microseconds(static_cast<int>(gap(random_) * 1000));
     }
-    double ms = (given ? static_cast<double>(asked) / 1000 : behaviour_.meanWorkMs)
-        * behaviour_.slowdown;
+    double ms
+        = (given ? static_cast<double>(asked) / 1000 : behaviour_.meanWorkMs) * behaviour_.slowdown;
     if (!given && behaviour_.shape == WorkShape::exponential && ms > 0) {
         ms = std::exponential_distribution<double>(1 / ms)(random_);
     }
@@ -159,8 +158,7 @@
     });
 }
 
-HttpResponse StandinTarget::answerTo(const http::request_header<> &header,
-                                     std::uint64_t bodyBytes)
+HttpResponse StandinTarget::answerTo(const http::request_header<> &header, std::uint64_t bodyBytes)
 {
     const std::string target(header.target());
     std::uint64_t size = 0;
@@ -180,8 +178,7 @@
     response.keep_alive(true);
     response.prepare_payload();
     ErrorCode error;
-    const bool cut
-        = std::uniform_real_distribution<double>()(random_) < behaviour_.truncateShare;
+    const bool cut = std::uniform_real_distribution<double>()(random_) < behaviour_.truncateShare;
     if (cut) {
         response.content_length(response.body().size() + 64);
     }
@@ -208,8 +205,8 @@
     const std::string target(header.target());
     if (target == "/health") {
         ++probes_;
-        const auto status = behaviour_.healthFails ? http::status::service_unavailable
-                                                   : http::status::ok;
+        const auto status
+            = behaviour_.healthFails ? http::status::service_unavailable : http::status::ok;
         return readBody(connection, parser, bytes, yield)
             && write(connection, textResponse(status, "{}"), yield);
     }
