--- a/daemons/Ctl.cpp
+++ b/daemons/Ctl.cpp
@@ -7,6 +7,7 @@
 #include "transport/BlockingHttp.h"
 #include "transport/JsonRpcCall.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <gflags/gflags.h>
@@ -26,6 +27,7 @@
 using namespace kumquat;
 
 constexpr Milliseconds callTime { 10'000 };
+constexpr Milliseconds questionTime { 1'000 }; // a frozen member must not hold up the others
 constexpr Milliseconds retryTime { 10'000 };
 constexpr Milliseconds inForceTime { 15'000 };
 constexpr Milliseconds poll { 50 };
@@ -62,14 +64,16 @@
         const TimePoint end = Clock::now() + retryTime;
         JsonRpcOutcome outcome;
         while (true) {
-            for (const std::string &member : controlMembers()) {
-                outcome = callMember(member, method, parameters);
+            const std::vector<std::string> members = controlMembers();
+            for (std::size_t step = 0; step < members.size(); ++step) {
+                outcome = callMember(members[preferred_ % members.size()], method, parameters);
                 const bool elsewhere = !outcome.ok
-                    && (outcome.error.rfind("not-leader", 0) == 0 || outcome.error.empty()
+                    && (absl::StrContains(outcome.error, "not-leader") || outcome.error.empty()
                         || unreachable_);
                 if (!elsewhere) {
                     return outcome;
                 }
+                ++preferred_;
             }
             if (Clock::now() > end) {
                 outcome.error = "no control member leads (" + outcome.error
@@ -83,8 +87,9 @@
     JsonRpcOutcome callMember(const std::string &member, const std::string &method,
                               const Json::Value &parameters)
     {
-        const JsonRpcCarrier carrier
-            = [this, &member](const std::string &message) { return carry(member, message); };
+        const JsonRpcCarrier carrier = [this, &member, &method](const std::string &message) {
+            return carry(member, message, method == "apply" ? callTime : questionTime);
+        };
         JsonRpcOutcome outcome = callJsonRpc(carrier, method, writeJson(parameters));
         if (unreachable_) {
             outcome.error = member + " cannot be reached";
@@ -93,7 +98,7 @@
     }
 
 private:
-    std::string carry(const std::string &member, const std::string &message)
+    std::string carry(const std::string &member, const std::string &message, Milliseconds timeout)
     {
         const auto address = parseAddress(member);
         if (!address.ok()) {
@@ -103,13 +108,14 @@
         HttpRequest request(http::verb::post, wire::rpcPath, 11);
         request.body() = message;
         const auto answer = blockingCall(*address, std::move(request),
-                                         std::make_shared<Authenticator>(key_), callTime);
+                                         std::make_shared<Authenticator>(key_), timeout);
         unreachable_ = !answer.ok() || answer->result() != http::status::ok;
         return unreachable_ ? "" : answer->body();
     }
 
     std::string key_;
     bool unreachable_ = false;
+    std::size_t preferred_ = 0; ///< position of the member that answered last
 };
 
 int print(const JsonRpcOutcome &outcome)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -331,7 +331,10 @@
     def ctl(self, *words, control=None, check=True):
         command = [self.program("kumquatctl"), "--control", control or self.controls_text,
                    "--key", self.key, *words]
-        return subprocess.run(command, check=check, capture_output=True, text=True, timeout=60)
+        done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        if check and done.returncode != 0:
+            raise RuntimeError(f"{' '.join(command)}: {done.stdout} {done.stderr}")
+        return done
 
     def load_command(self, **flags):
         flags.setdefault("entries", self.callers_text)
--- a/src/coordination/ControlRpc.cpp
+++ b/src/coordination/ControlRpc.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr int failureCode = -32000;
+// A code that libjson-rpc-cpp has no text of its own for.
+constexpr int failureCode = -32050;
 
 } // namespace
 
--- a/src/coordination/EntryCoordinator.cpp
+++ b/src/coordination/EntryCoordinator.cpp
@@ -200,7 +200,7 @@
         spread = waitForSpread(record, yield);
     } else {
         setReachable(record, true, true);
-        gossip_->forwardRenewal(record.name, now);
+        gossip_->forwardRenewal(record.name);
     }
     Json::Value body;
     body["leaseMs"] = record.leaseMs;
--- a/src/coordination/Gossip.cpp
+++ b/src/coordination/Gossip.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t fanout = 2;
 constexpr std::uint64_t ticksPerDigest = 5;
 constexpr std::size_t maxRecordsPerMessage = 8;
+constexpr std::size_t maxRenewalsPerMessage = 40;
+constexpr std::uint64_t ticksPerRenewals = 5;
 constexpr std::size_t maxSmallItemsPerMessage = 8;
 constexpr std::size_t maxBeatsPerMessage = 8;
 constexpr std::size_t maxBucketsPerAnswer = 4;
@@ -126,6 +128,9 @@
     ++beat_;
     ++ticks_;
     checkPeers(now);
+    if (ticks_ % ticksPerRenewals == 0) {
+        sendRenewals(now);
+    }
     for (const std::size_t index : pickPeers(fanout)) {
         GossipMessage message = newMessage();
         fill(message);
@@ -190,14 +195,32 @@
     return responsiblePeer(target) == nullptr;
 }
 
-void Gossip::forwardRenewal(const std::string &target, TimePoint now)
+// Renewals are many and small, so they travel together with the next tick: a signed datagram for
+// each would cost ten times its content.
+void Gossip::forwardRenewal(const std::string &target)
 {
     const Peer *peer = responsiblePeer(target);
     if (peer != nullptr) {
+        renewals_[peer->address].push_back(target);
+    }
+}
+
+void Gossip::sendRenewals(TimePoint now)
+{
+    for (const auto &queued : renewals_) {
         GossipMessage message = newMessage();
-        message.renewed.push_back(target);
-        send(peer->address, message, now);
+        for (const std::string &target : queued.second) {
+            message.renewed.push_back(target);
+            if (message.renewed.size() == maxRenewalsPerMessage) {
+                send(queued.first, message, now);
+                message.renewed.clear();
+            }
+        }
+        if (!message.renewed.empty()) {
+            send(queued.first, message, now);
+        }
     }
+    renewals_.clear();
 }
 
 void Gossip::refresh(TimePoint now)
--- a/src/coordination/Gossip.h
+++ b/src/coordination/Gossip.h
@@ -11,6 +11,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <set>
 
 namespace kumquat {
@@ -56,7 +57,7 @@
     void spreadSuspicion(const RequestSuspicion &suspicion);
 
     /// Tells the entry responsible for \p target that it renewed its lease.
-    void forwardRenewal(const std::string &target, TimePoint now);
+    void forwardRenewal(const std::string &target);
 
     /// Asks every peer for its digest, as after a freeze.
     void refresh(TimePoint now);
@@ -109,6 +110,7 @@
                                 const Address &to, TimePoint now);
     void takeRecords(const GossipMessage &message, TimePoint now);
     void acknowledge(std::uint64_t sequence);
+    void sendRenewals(TimePoint now);
     int sendsPerItem() const;
     const Peer *responsiblePeer(const std::string &target) const;
 
@@ -121,6 +123,7 @@
     std::deque<Queued<TargetRecord>> records_;
     std::deque<Queued<TargetHealth>> health_;
     std::deque<Queued<RequestSuspicion>> suspicions_;
+    std::map<Address, std::vector<std::string>> renewals_; ///< by responsible peer
     std::vector<Awaited> awaited_;
     std::uint64_t beat_ = 0;
     std::uint64_t sequence_ = 0;
--- a/test/processes/test_control_failures.py
+++ b/test/processes/test_control_failures.py
@@ -72,6 +72,22 @@
         version = self.fleet.dump(self.fleet.internal_address(0))["configuration"]["number"]
         self.assertEqual(version, 9)
 
+    def test_a_change_is_in_force_although_the_leader_ended_or_froze(self):
+        for fault in ("kill", "freeze"):
+            victim = self.fleet.control[self.fleet.leader()]
+            if fault == "kill":
+                victim.kill()
+            else:
+                victim.signal(signal.SIGSTOP)
+            done = self.fleet.ctl("apply", self.fleet.configuration, "--wait",
+                                  "--wait_entries=6")
+            self.assertIn("in force on 6 entries", done.stdout, fault)
+            if fault == "kill":
+                victim.start()
+            else:
+                victim.signal(signal.SIGCONT)
+            wait_until(self.fleet.group_is_whole, 20, "the group to be whole again")
+
     def test_of_two_operators_with_equal_numbers_one_wins(self):
         first = self.fleet.ctl("apply", self.fleet.configuration, "--base=1", check=False)
         second = self.fleet.ctl("apply", self.fleet.configuration, "--base=1", check=False)
