--- /dev/null
+++ b/src/coordination/RaftReplication.cpp
@@ -0,0 +1,207 @@
+// How a leader brings its log to the others, what counts as committed, and reads that a majority
+// has confirmed.
+#include "coordination/Raft.h"
+
+#include "protocol/Codec.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+constexpr Milliseconds resendAfter { 300 };
+
+} // namespace
+
+absl::StatusOr<std::uint64_t> Raft::propose(std::string command, TimePoint now)
+{
+    if (!leads()) {
+        return makeError(ErrorKind::notLeader, "this member does not lead",
+                         "send it to the leader");
+    }
+    LogEntry entry;
+    entry.index = log_.lastIndex() + 1;
+    entry.term = hard_.term;
+    entry.type = EntryType::command;
+    entry.payload = std::move(command);
+    append(std::move(entry));
+    for (const GroupMember &member : members_) {
+        if (member.id != self_.id && !progress_[member.id].inFlight) {
+            sendAppend(member, now);
+        }
+    }
+    return log_.lastIndex();
+}
+
+void Raft::sendAppend(const GroupMember &member, TimePoint now)
+{
+    Progress &progress = progress_[member.id];
+    progress.sentAt = now;
+    if (progress.next < log_.firstIndex()) {
+        RaftMessage install = message(RaftMessageType::snapshot, member.id);
+        install.snapshot = log_.snapshot();
+        install.round = round_;
+        progress.inFlight = true;
+        output_.atOnce.push_back(std::move(install));
+        return;
+    }
+    RaftMessage request = message(RaftMessageType::append, member.id);
+    request.index = progress.next - 1;
+    request.logTerm = log_.termAt(request.index);
+    request.commit = commit_;
+    request.round = round_;
+    request.entries = log_.slice(progress.next, options_.maxAppendBytes);
+    progress.inFlight = !request.entries.empty();
+    // The entries may be on a follower's disk before they are on the leader's: what counts is
+    // that a majority has them, and the leader's own copy counts only once it is stored.
+    output_.atOnce.push_back(std::move(request));
+}
+
+void Raft::broadcast(TimePoint now)
+{
+    heartbeatAt_ = now + options_.heartbeat;
+    ++round_;
+    for (const GroupMember &member : members_) {
+        if (member.id == self_.id) {
+            continue;
+        }
+        Progress &progress = progress_[member.id];
+        if (progress.inFlight && now - progress.sentAt < resendAfter) {
+            RaftMessage heartbeat = message(RaftMessageType::append, member.id);
+            heartbeat.index = progress.match;
+            if (!log_.holds(heartbeat.index)) {
+                continue;
+            }
+            heartbeat.logTerm = log_.termAt(heartbeat.index);
+            heartbeat.commit = std::min(commit_, progress.match);
+            heartbeat.round = round_;
+            output_.atOnce.push_back(std::move(heartbeat));
+        } else {
+            sendAppend(member, now);
+        }
+    }
+}
+
+void Raft::stored(std::uint64_t index, std::uint64_t term, TimePoint now)
+{
+    // What was stored may have been overwritten in memory since.
+    if (index > stored_ && log_.holds(index) && log_.termAt(index) == term) {
+        stored_ = index;
+    }
+    if (leads()) {
+        advanceCommit(now);
+    }
+}
+
+void Raft::advanceCommit(TimePoint)
+{
+    std::vector<std::uint64_t> matches;
+    for (const GroupMember &member : members_) {
+        if (member.voter) {
+            matches.push_back(member.id == self_.id ? stored_ : progress_[member.id].match);
+        }
+    }
+    if (matches.empty()) {
+        return;
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const std::uint64_t index = matches[matches.size() / 2];
+    // Entries of older terms are committed only along with one of this term.
+    if (index > commit_ && log_.termAt(index) == hard_.term) {
+        commit_ = index;
+        const GroupMember *self = find(self_.id);
+        if (self == nullptr && commit_ >= log_.latestMembersIndex()) {
+            role_ = RaftRole::follower;
+            leader_ = 0;
+            failReads();
+        }
+    }
+}
+
+std::vector<LogEntry> Raft::takeCommitted()
+{
+    std::vector<LogEntry> result;
+    while (applied_ < commit_) {
+        ++applied_;
+        result.push_back(log_.at(applied_));
+    }
+    return result;
+}
+
+LogSnapshot Raft::compact(std::uint64_t index, std::string data)
+{
+    KUMQUAT_ASSERT(index <= applied_ && index >= log_.snapshot().index, std::to_string(index));
+    LogSnapshot snapshot;
+    snapshot.epoch = hard_.epoch;
+    snapshot.index = index;
+    snapshot.term = log_.termAt(index);
+    snapshot.data = std::move(data);
+    snapshot.members = log_.snapshot().members;
+    for (std::uint64_t i = log_.firstIndex(); i <= index; ++i) {
+        if (log_.at(i).type == EntryType::membership) {
+            snapshot.members = *unpack<std::vector<GroupMember>>(log_.at(i).payload);
+        }
+    }
+    log_.install(snapshot);
+    return snapshot;
+}
+
+// Reads.
+
+void Raft::confirmLeadership(std::function<void(bool)> done, TimePoint now)
+{
+    if (!leads()) {
+        done(false);
+        return;
+    }
+    broadcast(now);
+    reads_.push_back({ round_, std::move(done) });
+    confirmReads(now);
+}
+
+void Raft::confirmReads(TimePoint)
+{
+    if (!leads() || commit_ < leaderFirstIndex_) {
+        return;
+    }
+    std::vector<PendingRead> confirmed;
+    for (auto read = reads_.begin(); read != reads_.end();) {
+        std::set<MemberId> ids { self_.id };
+        for (const auto &entry : progress_) {
+            if (entry.second.round >= read->round) {
+                ids.insert(entry.first);
+            }
+        }
+        if (isMajority(ids)) {
+            confirmed.push_back(std::move(*read));
+            read = reads_.erase(read);
+        } else {
+            ++read;
+        }
+    }
+    for (const PendingRead &read : confirmed) {
+        read.done(true);
+    }
+}
+
+void Raft::handOver(TimePoint)
+{
+    if (!leads()) {
+        return;
+    }
+    MemberId best = 0;
+    std::uint64_t bestMatch = 0;
+    for (const GroupMember &member : members_) {
+        const std::uint64_t match = progress_[member.id].match;
+        if (member.voter && member.id != self_.id && match >= bestMatch) {
+            best = member.id;
+            bestMatch = match;
+        }
+    }
+    if (best != 0 && bestMatch == log_.lastIndex()) {
+        output_.atOnce.push_back(message(RaftMessageType::campaignNow, best));
+    }
+}
+
+} // namespace kumquat
