--- a/src/coordination/EntryCoordinator.cpp
+++ b/src/coordination/EntryCoordinator.cpp
@@ -29,6 +29,7 @@
 std::vector<Address> parsed(const std::vector<std::string> &texts)
 {
     std::vector<Address> addresses;
+    addresses.reserve(texts.size());
     for (const std::string &text : texts) {
         addresses.push_back(*parseAddress(text));
     }
--- a/src/state/ConfigurationHistory.cpp
+++ b/src/state/ConfigurationHistory.cpp
@@ -33,6 +33,7 @@
 absl::Status checkFiles(const std::vector<FileWrite> &files)
 {
     std::vector<ConfigurationFile> plain;
+    plain.reserve(files.size());
     for (const FileWrite &file : files) {
         plain.push_back({ file.name, file.content });
     }
