--- a/src/coordination/GroupNode.cpp
+++ b/src/coordination/consensus/GroupNode.cpp
@@ -1,4 +1,4 @@
-#include "coordination/GroupNode.h"
+#include "coordination/consensus/GroupNode.h"
 
 #include "kumquat/Event.h"
 #include "protocol/Codec.h"
--- a/src/coordination/GroupNode.h
+++ b/src/coordination/consensus/GroupNode.h
@@ -3,7 +3,7 @@
 /// Drives one member of the control group: log, disk and state in the order that safety needs.
 /// Disk, network and time come through hooks, so that tests run it on a virtual clock.
 
-#include "coordination/Raft.h"
+#include "coordination/consensus/Raft.h"
 #include "state/ControlState.h"
 #include "state/LogStore.h"
 
--- a/src/coordination/PeerLinks.cpp
+++ b/src/coordination/consensus/PeerLinks.cpp
@@ -1,4 +1,4 @@
-#include "coordination/PeerLinks.h"
+#include "coordination/consensus/PeerLinks.h"
 
 #include "protocol/Codec.h"
 #include "protocol/Wire.h"
--- a/src/coordination/Raft.cpp
+++ b/src/coordination/consensus/Raft.cpp
@@ -1,4 +1,4 @@
-#include "coordination/Raft.h"
+#include "coordination/consensus/Raft.h"
 
 #include "protocol/Codec.h"
 
--- a/src/coordination/Raft.h
+++ b/src/coordination/consensus/Raft.h
@@ -6,7 +6,7 @@
 
 #include "common/Random.h"
 #include "common/Time.h"
-#include "coordination/RaftLog.h"
+#include "coordination/consensus/RaftLog.h"
 #include "kumquat/Error.h"
 
 #include <absl/status/statusor.h>
--- a/src/coordination/RaftLog.cpp
+++ b/src/coordination/consensus/RaftLog.cpp
@@ -1,4 +1,4 @@
-#include "coordination/RaftLog.h"
+#include "coordination/consensus/RaftLog.h"
 
 #include "protocol/Codec.h"
 
--- a/src/coordination/RaftMembership.cpp
+++ b/src/coordination/consensus/RaftMembership.cpp
@@ -1,6 +1,6 @@
 // How a group takes in members: a joining identity first learns the log, then the identity that
 // it replaces is removed, then it becomes a voter; one committed change at a time.
-#include "coordination/Raft.h"
+#include "coordination/consensus/Raft.h"
 
 #include "protocol/Codec.h"
 
--- a/src/coordination/RaftReplication.cpp
+++ b/src/coordination/consensus/RaftReplication.cpp
@@ -1,6 +1,6 @@
 // How a leader brings its log to the others, what counts as committed, and reads that a majority
 // has confirmed.
-#include "coordination/Raft.h"
+#include "coordination/consensus/Raft.h"
 
 #include "protocol/Codec.h"
 
--- a/src/coordination/ControlClient.cpp
+++ b/src/coordination/control/ControlClient.cpp
@@ -1,4 +1,4 @@
-#include "coordination/ControlClient.h"
+#include "coordination/control/ControlClient.h"
 
 #include "protocol/Codec.h"
 #include "protocol/Wire.h"
--- a/src/coordination/ControlOperations.cpp
+++ b/src/coordination/control/ControlOperations.cpp
@@ -1,5 +1,5 @@
 // What operators can ask of a control member: group, configuration, once-records, status.
-#include "coordination/ControlServer.h"
+#include "coordination/control/ControlServer.h"
 
 #include "common/JsonReader.h"
 #include "kumquat/Event.h"
--- a/src/coordination/ControlProcess.cpp
+++ b/src/coordination/control/ControlProcess.cpp
@@ -1,6 +1,6 @@
 #include "kumquat/ControlProcess.h"
 
-#include "coordination/ControlServer.h"
+#include "coordination/control/ControlServer.h"
 #include "kumquat/Event.h"
 
 namespace kumquat {
--- a/src/coordination/ControlRpc.cpp
+++ b/src/coordination/control/ControlRpc.cpp
@@ -1,4 +1,4 @@
-#include "coordination/ControlRpc.h"
+#include "coordination/control/ControlRpc.h"
 
 #include <jsonrpccpp/common/errors.h>
 #include <jsonrpccpp/common/exception.h>
--- a/src/coordination/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -1,7 +1,7 @@
-#include "coordination/ControlServer.h"
+#include "coordination/control/ControlServer.h"
 
 #include "common/JsonReader.h"
-#include "coordination/ControlClient.h"
+#include "coordination/control/ControlClient.h"
 #include "kumquat/Event.h"
 #include "protocol/Codec.h"
 #include "protocol/Wire.h"
--- a/src/coordination/ControlServer.h
+++ b/src/coordination/control/ControlServer.h
@@ -3,9 +3,9 @@
 /// Joins a group node to the outside: peers, entries and operators over one internal port.
 /// One event loop runs the node; a second thread writes to the disk, a third serves operators.
 
-#include "coordination/ControlRpc.h"
-#include "coordination/GroupNode.h"
-#include "coordination/PeerLinks.h"
+#include "coordination/consensus/GroupNode.h"
+#include "coordination/consensus/PeerLinks.h"
+#include "coordination/control/ControlRpc.h"
 #include "kumquat/Settings.h"
 #include "transport/HttpClient.h"
 
--- a/src/coordination/Attempt.cpp
+++ b/src/coordination/entry/Attempt.cpp
@@ -1,4 +1,4 @@
-#include "coordination/Attempt.h"
+#include "coordination/entry/Attempt.h"
 
 #include "protocol/Headers.h"
 #include "protocol/Wire.h"
--- a/src/coordination/Attempt.h
+++ b/src/coordination/entry/Attempt.h
@@ -3,7 +3,7 @@
 /// Runs one attempt of a request at one target and classifies how it ended.
 /// What an attempt proves about the request's run decides whether it may be retried.
 
-#include "coordination/RoutingTable.h"
+#include "coordination/entry/RoutingTable.h"
 #include "protocol/OnceMessages.h"
 #include "protocol/TargetPool.h"
 
--- a/src/coordination/Call.h
+++ b/src/coordination/entry/Call.h
@@ -3,7 +3,7 @@
 /// Serves one admitted request of each kind, from the choice of a target to the answer.
 /// The kinds differ in what may be repeated and in who may cut an exchange short.
 
-#include "coordination/Attempt.h"
+#include "coordination/entry/Attempt.h"
 #include "protocol/CallerConnection.h"
 
 namespace kumquat {
--- a/src/coordination/EntryCoordinator.cpp
+++ b/src/coordination/entry/EntryCoordinator.cpp
@@ -1,4 +1,4 @@
-#include "coordination/EntryCoordinator.h"
+#include "coordination/entry/EntryCoordinator.h"
 
 #include "common/JsonReader.h"
 #include "kumquat/Event.h"
--- a/src/coordination/EntryCoordinator.h
+++ b/src/coordination/entry/EntryCoordinator.h
@@ -3,10 +3,10 @@
 /// Defines the coordination thread of an entry: announcements, gossip, configuration, probes.
 /// It alone changes the membership and publishes routing tables.
 
-#include "coordination/ControlClient.h"
-#include "coordination/EntryCore.h"
-#include "coordination/Gossip.h"
-#include "coordination/OutlierEjection.h"
+#include "coordination/control/ControlClient.h"
+#include "coordination/entry/EntryCore.h"
+#include "coordination/membership/Gossip.h"
+#include "coordination/policy/OutlierEjection.h"
 #include "kumquat/Settings.h"
 #include "transport/DatagramSocket.h"
 
--- a/src/coordination/EntryCore.h
+++ b/src/coordination/entry/EntryCore.h
@@ -4,8 +4,8 @@
 /// Workers only read the routing table and count; the coordination thread publishes.
 
 #include "common/RcuPointer.h"
-#include "coordination/Attempt.h"
-#include "coordination/Quarantine.h"
+#include "coordination/entry/Attempt.h"
+#include "coordination/policy/Quarantine.h"
 
 namespace kumquat {
 
--- a/src/coordination/EntryProcess.cpp
+++ b/src/coordination/entry/EntryProcess.cpp
@@ -1,7 +1,7 @@
 #include "kumquat/EntryProcess.h"
 
-#include "coordination/EntryCoordinator.h"
-#include "coordination/EntryWorker.h"
+#include "coordination/entry/EntryCoordinator.h"
+#include "coordination/entry/EntryWorker.h"
 #include "kumquat/Error.h"
 #include "kumquat/Event.h"
 
--- a/src/coordination/EntryStatus.cpp
+++ b/src/coordination/entry/EntryStatus.cpp
@@ -1,6 +1,6 @@
 // The dump and the metrics of an entry: what operators read to see what it does.
 #include "common/JsonReader.h"
-#include "coordination/EntryCoordinator.h"
+#include "coordination/entry/EntryCoordinator.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/coordination/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -1,6 +1,6 @@
-#include "coordination/EntryWorker.h"
+#include "coordination/entry/EntryWorker.h"
 
-#include "coordination/Call.h"
+#include "coordination/entry/Call.h"
 #include "protocol/Headers.h"
 #include "protocol/Wire.h"
 #include "transport/Spawn.h"
--- a/src/coordination/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -3,9 +3,9 @@
 /// Defines one worker thread of an entry: it accepts callers and admits their requests.
 /// Each worker has its own event loop, connections and listening socket.
 
-#include "coordination/Call.h"
-#include "coordination/ControlClient.h"
-#include "coordination/EntryCore.h"
+#include "coordination/control/ControlClient.h"
+#include "coordination/entry/Call.h"
+#include "coordination/entry/EntryCore.h"
 #include "protocol/CallerConnection.h"
 
 #include <set>
--- a/src/coordination/OnceCall.cpp
+++ b/src/coordination/entry/OnceCall.cpp
@@ -1,4 +1,4 @@
-#include "coordination/Call.h"
+#include "coordination/entry/Call.h"
 #include "protocol/Wire.h"
 #include "transport/Spawn.h"
 
--- a/src/coordination/RoutingTable.cpp
+++ b/src/coordination/entry/RoutingTable.cpp
@@ -1,4 +1,4 @@
-#include "coordination/RoutingTable.h"
+#include "coordination/entry/RoutingTable.h"
 
 #include <algorithm>
 
--- a/src/coordination/RoutingTable.h
+++ b/src/coordination/entry/RoutingTable.h
@@ -3,7 +3,7 @@
 /// Defines the immutable table by which an entry finds the service and targets of a request.
 /// A change of configuration or targets publishes a new table; requests keep the one they read.
 
-#include "coordination/ServiceRuntime.h"
+#include "coordination/entry/ServiceRuntime.h"
 
 namespace kumquat {
 
--- a/src/coordination/ServiceRuntime.cpp
+++ b/src/coordination/entry/ServiceRuntime.cpp
@@ -1,4 +1,4 @@
-#include "coordination/ServiceRuntime.h"
+#include "coordination/entry/ServiceRuntime.h"
 
 #include <algorithm>
 
--- a/src/coordination/ServiceRuntime.h
+++ b/src/coordination/entry/ServiceRuntime.h
@@ -5,8 +5,8 @@
 
 #include "common/LatencyRecorder.h"
 #include "common/Random.h"
-#include "coordination/RetryBudget.h"
-#include "coordination/Target.h"
+#include "coordination/entry/Target.h"
+#include "coordination/policy/RetryBudget.h"
 #include "kumquat/Chooser.h"
 #include "kumquat/Configuration.h"
 #include "protocol/Refusal.h"
--- a/src/coordination/Target.cpp
+++ b/src/coordination/entry/Target.cpp
@@ -1,4 +1,4 @@
-#include "coordination/Target.h"
+#include "coordination/entry/Target.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/coordination/Gossip.cpp
+++ b/src/coordination/membership/Gossip.cpp
@@ -1,4 +1,4 @@
-#include "coordination/Gossip.h"
+#include "coordination/membership/Gossip.h"
 
 #include "protocol/Codec.h"
 
--- a/src/coordination/Gossip.h
+++ b/src/coordination/membership/Gossip.h
@@ -4,8 +4,8 @@
 /// Changes travel epidemically at once; digests repair what datagrams lost.
 
 #include "common/Random.h"
-#include "coordination/Membership.h"
-#include "coordination/TokenBucket.h"
+#include "coordination/membership/Membership.h"
+#include "coordination/policy/TokenBucket.h"
 #include "protocol/GossipMessage.h"
 #include "transport/Address.h"
 
--- a/src/coordination/Membership.cpp
+++ b/src/coordination/membership/Membership.cpp
@@ -1,4 +1,4 @@
-#include "coordination/Membership.h"
+#include "coordination/membership/Membership.h"
 
 #include <xxhash.h>
 
--- a/src/coordination/OutlierEjection.cpp
+++ b/src/coordination/policy/OutlierEjection.cpp
@@ -1,4 +1,4 @@
-#include "coordination/OutlierEjection.h"
+#include "coordination/policy/OutlierEjection.h"
 
 #include <algorithm>
 
--- a/src/coordination/OutlierEjection.h
+++ b/src/coordination/policy/OutlierEjection.h
@@ -3,7 +3,7 @@
 /// Ejects targets that fail or lag far behind their peers, never more than a bounded share.
 /// An ejected target comes back after a pause that grows with each ejection.
 
-#include "coordination/RoutingTable.h"
+#include "coordination/entry/RoutingTable.h"
 
 #include <map>
 
--- a/src/coordination/Quarantine.cpp
+++ b/src/coordination/policy/Quarantine.cpp
@@ -1,4 +1,4 @@
-#include "coordination/Quarantine.h"
+#include "coordination/policy/Quarantine.h"
 
 namespace kumquat {
 
--- a/test/failure/GossipWorld.h
+++ b/test/failure/GossipWorld.h
@@ -4,7 +4,7 @@
 /// Everything follows from one seed.
 
 #include "TestSupport.h"
-#include "coordination/Gossip.h"
+#include "coordination/membership/Gossip.h"
 
 #include <memory>
 
--- a/test/failure/GroupWorld.h
+++ b/test/failure/GroupWorld.h
@@ -4,7 +4,7 @@
 /// Everything follows from one seed. An oracle of plain maps watches what the group answers.
 
 #include "TestSupport.h"
-#include "coordination/GroupNode.h"
+#include "coordination/consensus/GroupNode.h"
 
 #include <map>
 #include <queue>
--- a/test/fuzz/Messages.cpp
+++ b/test/fuzz/Messages.cpp
@@ -1,6 +1,6 @@
 // Any bytes as a message between the system's own processes, and as a log file.
-#include "coordination/Gossip.h"
-#include "coordination/PeerLinks.h"
+#include "coordination/consensus/PeerLinks.h"
+#include "coordination/membership/Gossip.h"
 #include "protocol/Codec.h"
 #include "protocol/OnceMessages.h"
 #include "state/RecordFile.h"
