--- a/daemons/Entry.cpp
+++ b/daemons/Entry.cpp
@@ -2,6 +2,7 @@
 #include "common/Program.h"
 #include "kumquat/EntryProcess.h"
 #include "kumquat/Event.h"
+#include "platform/Dialect.h"
 
 #include <gflags/gflags.h>
 
@@ -25,7 +26,7 @@
         return 0;
     }
     kumquat::startProgram(settings->name);
-    auto entry = kumquat::EntryProcessBuilder().settings(*settings).clusterKey(*key).build();
+    auto entry = kumquat::EntryProcessBuilder().settings(*settings).clusterKey(*key).dialect(kumquat::platform::dialectNamed(settings->dialect)).build();
     if (!entry.ok()) {
         return kumquat::failProgram(entry.status());
     }
--- a/include/kumquat/ControlProcess.h
+++ b/include/kumquat/ControlProcess.h
@@ -9,6 +9,8 @@
 
 namespace kumquat {
 
+struct Dialect;
+
 class ControlProcess
 {
 public:
@@ -26,6 +28,8 @@
 public:
     ControlProcessBuilder &settings(ControlSettings settings);
     ControlProcessBuilder &clusterKey(std::string key);
+    /// The names on the wire; the product's own unless said otherwise. It must outlive the process.
+    ControlProcessBuilder &dialect(const Dialect &dialect);
 
     /// Reads the data folder and opens the process's socket.
     absl::StatusOr<std::unique_ptr<ControlProcess>> build();
@@ -33,6 +37,7 @@
 private:
     ControlSettings settings_;
     std::string key_;
+    const Dialect *dialect_ = nullptr;
 };
 
 } // namespace kumquat
--- a/include/kumquat/EntryProcess.h
+++ b/include/kumquat/EntryProcess.h
@@ -9,6 +9,8 @@
 
 namespace kumquat {
 
+struct Dialect;
+
 class EntryProcess
 {
 public:
@@ -26,6 +28,8 @@
 public:
     EntryProcessBuilder &settings(EntrySettings settings);
     EntryProcessBuilder &clusterKey(std::string key);
+    /// The names on the wire; the product's own unless said otherwise. It must outlive the process.
+    EntryProcessBuilder &dialect(const Dialect &dialect);
 
     /// Opens the process's sockets; fails with ErrorKind::badSettings.
     absl::StatusOr<std::unique_ptr<EntryProcess>> build();
@@ -33,6 +37,7 @@
 private:
     EntrySettings settings_;
     std::string key_;
+    const Dialect *dialect_ = nullptr;
 };
 
 } // namespace kumquat
--- a/include/kumquat/Settings.h
+++ b/include/kumquat/Settings.h
@@ -9,9 +9,18 @@
 
 namespace kumquat {
 
+/// How far requests of a service may be sent again, over all entries together.
+struct SharedRetryBudget
+{
+    double ratio = 0.2; ///< of the requests in the window
+    int slack = 20; ///< beyond the ratio, in each window
+    int windowMs = 10'000;
+};
+
 /// Settings of `kumquat-entry`; addresses are `IP:PORT`.
 struct EntrySettings
 {
+    std::string dialect = "kumquat"; ///< the names on the wire
     std::string name;
     std::string failureDomain;
     std::string callerAddress;
@@ -19,10 +28,15 @@
     std::string gossipAddress;
     std::vector<std::string> gossipPeers;
     std::vector<std::string> controlMembers;
-    std::string clusterKeyFile;
+    /// Some members of the control group, which tell of the others and of the targets; in the
+    /// place of `gossipAddress`, `gossipPeers` and `controlMembers`.
+    std::vector<std::string> controlSeeds;
+    std::string clusterKeyFile; ///< empty: messages between processes are not signed
+    SharedRetryBudget retryBudget;
     int threads = 2;
     int maxConnections = 4000; ///< of callers
     int stopGraceMs = 500; ///< between "not ready" and the closing of the listeners
+    int stopLimitMs = 600'000; ///< after it a planned stop ends whatever still runs
 };
 
 struct ControlMember
@@ -34,12 +48,18 @@
 /// Settings of `kumquat-control`.
 struct ControlSettings
 {
+    std::string dialect = "kumquat"; ///< the names on the wire
     std::string name;
     std::string failureDomain;
     std::string dataFolder;
     std::string listenAddress; ///< where it differs from its address in `members`
     std::vector<ControlMember> members; ///< this process included
-    std::string clusterKeyFile;
+    /// Some members, from which the others are learned; in the place of `members`.
+    std::vector<std::string> seeds;
+    bool firstStart = false; ///< the whole system starts for the first time; seeds found the group
+    int toleratedLosses = 1; ///< disks that may be lost at once; twice as many and one more vote
+    int heartbeatMs = 1'500; ///< between two announcements of a target
+    std::string clusterKeyFile; ///< empty: messages between processes are not signed
     int maxOnceRecords = 200'000;
     int onceRetentionSeconds = 86'400;
     int snapshotEveryEntries = 20'000;
--- a/src/common/JsonReader.cpp
+++ b/src/common/JsonReader.cpp
@@ -118,6 +118,19 @@
     return value.isNull() ? fallback : checkedInteger(value, key, low, high);
 }
 
+bool JsonObject::flag(const char *key, bool fallback)
+{
+    const Json::Value &value = member(key);
+    if (value.isNull()) {
+        return fallback;
+    }
+    if (!value.isBool()) {
+        problems_.add(pathOf(key), "is " + writeJson(value), "write true or false");
+        return fallback;
+    }
+    return value.asBool();
+}
+
 double JsonObject::number(const char *key, double low, double high, double fallback)
 {
     const Json::Value &value = member(key);
--- a/src/common/JsonReader.h
+++ b/src/common/JsonReader.h
@@ -47,6 +47,7 @@
     std::int64_t integer(const char *key, std::int64_t low, std::int64_t high);
     std::int64_t integer(const char *key, std::int64_t low, std::int64_t high,
                          std::int64_t fallback);
+    bool flag(const char *key, bool fallback);
     double number(const char *key, double low, double high, double fallback);
     Milliseconds milliseconds(const char *key, Milliseconds low, Milliseconds high,
                               Milliseconds fallback);
--- a/src/common/Time.h
+++ b/src/common/Time.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 #include <functional>
 
 namespace kumquat {
@@ -30,4 +31,12 @@
     return std::chrono::duration_cast<Milliseconds>(now);
 }
 
+/// Like the steady clock, but counting the time for which the instance was suspended.
+inline TimePoint bootTime()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(Seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 } // namespace kumquat
--- a/src/coordination/consensus/GroupNode.cpp
+++ b/src/coordination/consensus/GroupNode.cpp
@@ -3,6 +3,9 @@
 #include "kumquat/Event.h"
 #include "protocol/Codec.h"
 
+#include <algorithm>
+#include <xxhash.h>
+
 namespace kumquat {
 
 namespace {
@@ -19,6 +22,13 @@
     return identity;
 }
 
+// Founders name one another by what all of them know before they have met. A disk that is lost
+// comes back under an identity drawn at random, so that no vote of a founder is given twice.
+MemberId founderIdentity(const std::string &address)
+{
+    return std::max<MemberId>(1, XXH64(address.data(), address.size(), 0));
+}
+
 void mergeOutput(RaftOutput &pending, RaftOutput output)
 {
     if (output.hardState) {
@@ -53,6 +63,12 @@
     if (loaded->damaged) {
         logEvent(Event::logDamaged, LogLevel::error, "member={} begins anew", options_.name);
     }
+    if (loaded->identity == 0 && !loaded->damaged && isFounder()) {
+        const absl::Status founded = found(*loaded);
+        if (!founded.ok()) {
+            return founded;
+        }
+    }
     if (loaded->identity == 0) {
         *loaded = StoredState();
         loaded->identity = drawIdentity(random);
@@ -72,7 +88,8 @@
     for (LogEntry &entry : loaded->entries) {
         log.put(std::move(entry));
     }
-    GroupMember self { loaded->identity, options_.name, options_.address, false };
+    GroupMember self { loaded->identity, options_.name, options_.address, false,
+                       options_.failureDomain };
     for (const GroupMember &member : log.latestMembers()) {
         self.voter = self.voter || (member.id == self.id && member.voter);
     }
@@ -82,6 +99,32 @@
     return absl::OkStatus();
 }
 
+bool GroupNode::isFounder() const
+{
+    return std::find(options_.founders.begin(), options_.founders.end(), options_.address)
+        != options_.founders.end();
+}
+
+// Every founder writes the same first members on its own, so none has to wait for another; the
+// group acts as soon as a majority of them runs.
+absl::Status GroupNode::found(StoredState &state)
+{
+    state.identity = founderIdentity(options_.address);
+    state.hardState = { 1, 1, 0 };
+    state.snapshot.epoch = 1;
+    state.snapshot.index = 1;
+    state.snapshot.term = 1;
+    for (const std::string &address : options_.founders) {
+        state.snapshot.members.push_back(
+            { founderIdentity(address), address, address, true, "" });
+    }
+    absl::Status status = store_.create(state.identity);
+    status.Update(store_.replace(state.snapshot, state.hardState, {}));
+    logEvent(Event::groupFormed, LogLevel::info, "member={} founders={}", options_.name,
+             options_.founders.size());
+    return status;
+}
+
 absl::Status GroupNode::form()
 {
     const auto epoch = static_cast<std::uint64_t>(hooks_.wallNow().count());
@@ -106,6 +149,15 @@
     if (!message.fromAddress.empty()) {
         heardFrom_[message.from] = message.fromAddress;
     }
+    // Whoever joins knows some member, which need not be the leader.
+    const bool forLeader = message.type == RaftMessageType::join && !raft_->leads();
+    const std::string leader = raft_->leaderAddress();
+    if (forLeader && !leader.empty() && message.to == 0) {
+        RaftMessage passedOn = message;
+        passedOn.to = raft_->leader();
+        hooks_.send(leader, passedOn);
+        return;
+    }
     raft_->receive(message, hooks_.now());
     pump();
 }
--- a/src/coordination/consensus/GroupNode.h
+++ b/src/coordination/consensus/GroupNode.h
@@ -32,7 +32,11 @@
 {
     std::string name;
     std::string address;
+    std::string failureDomain;
     std::vector<std::string> peerAddresses; ///< all members' but its own
+    /// Addresses of the first members of a new group, in the same order on each of them; empty
+    /// unless the whole system starts for the first time.
+    std::vector<std::string> founders;
     std::uint64_t seed = 0;
     std::uint64_t snapshotEvery = 20'000; ///< entries of the log
     std::uint64_t onceCapacity = 200'000;
@@ -67,6 +71,9 @@
 
     void handOver();
 
+    /// Where a member that is not in the group yet asks to be taken in.
+    void setPeers(std::vector<std::string> addresses) { options_.peerAddresses = std::move(addresses); }
+
     const Raft &raft() const { return *raft_; }
     const ControlState &state() const { return state_; }
     const LogStore &store() const { return store_; }
@@ -79,6 +86,8 @@
         Done done;
     };
 
+    bool isFounder() const;
+    absl::Status found(StoredState &state);
     void pump();
     void gather();
     void flush();
--- a/src/coordination/consensus/Raft.h
+++ b/src/coordination/consensus/Raft.h
@@ -29,6 +29,7 @@
     Milliseconds electionHigh { 1'200 };
     std::size_t maxAppendBytes = 512 * 1024;
     std::uint64_t seed = 0;
+    std::size_t voterGoal = 0; ///< members beyond it stay learners; 0: every member votes
 };
 
 /// Work for the driver, in this order: store, then send what waited for it, then apply.
@@ -134,6 +135,13 @@
     void appendMembers(const std::vector<GroupMember> &members, TimePoint now);
     void advanceMembership(TimePoint now);
     bool membershipSettled() const;
+    bool admitLearner(TimePoint now);
+    bool isCaughtUp(MemberId id, TimePoint now) const;
+    std::size_t votersIn(const std::string &failureDomain) const;
+    const GroupMember *bestCandidate(TimePoint now) const;
+    const GroupMember *silentMember(bool voter, Milliseconds longerThan, TimePoint now) const;
+    void removeMember(MemberId id, TimePoint now);
+    void promote(MemberId id, TimePoint now);
     void sendAppend(const GroupMember &member, TimePoint now);
     void broadcast(TimePoint now);
     void advanceCommit(TimePoint now);
--- a/src/coordination/consensus/RaftMembership.cpp
+++ b/src/coordination/consensus/RaftMembership.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::uint64_t caughtUpWithin = 50;
 constexpr Milliseconds recentContact { 1'000 };
+/// A replacement has to vote within seconds of its start, so that a second loss can be borne.
+constexpr Milliseconds replaceVoterAfter { 1'500 };
+constexpr Milliseconds dropLearnerAfter { 30'000 };
 
 } // namespace
 
@@ -45,45 +48,122 @@
     broadcast(now);
 }
 
-void Raft::advanceMembership(TimePoint now)
+bool Raft::isCaughtUp(MemberId id, TimePoint now) const
 {
-    if (!leads() || joining_.empty() || !membershipSettled()) {
-        return;
+    const auto found = progress_.find(id);
+    if (found == progress_.end()) {
+        return false;
+    }
+    const Progress &progress = found->second;
+    return progress.match + caughtUpWithin >= log_.lastIndex()
+        && now - progress.heardAt < recentContact && progress.match > 0;
+}
+
+std::size_t Raft::votersIn(const std::string &failureDomain) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(members_.begin(), members_.end(), [&failureDomain](const GroupMember &member) {
+            return member.voter && member.failureDomain == failureDomain;
+        }));
+}
+
+// Of the members that could vote, one in the failure domain with the fewest voters.
+const GroupMember *Raft::bestCandidate(TimePoint now) const
+{
+    const GroupMember *best = nullptr;
+    for (const GroupMember &member : members_) {
+        if (member.voter || joining_.count(member.id) == 0 || !isCaughtUp(member.id, now)) {
+            continue;
+        }
+        if (best == nullptr || votersIn(member.failureDomain) < votersIn(best->failureDomain)) {
+            best = &member;
+        }
     }
-    const GroupMember joining = joining_.begin()->second;
-    const GroupMember *known = find(joining.id);
+    return best;
+}
+
+// A member that has been silent: a voter may be replaced soon, a learner is dropped in the end.
+const GroupMember *Raft::silentMember(bool voter, Milliseconds longerThan, TimePoint now) const
+{
+    for (const GroupMember &member : members_) {
+        const auto progress = progress_.find(member.id);
+        const bool silent = progress != progress_.end()
+            && now - progress->second.heardAt > longerThan;
+        if (member.id != self_.id && member.voter == voter && silent) {
+            return &member;
+        }
+    }
+    return nullptr;
+}
+
+void Raft::removeMember(MemberId id, TimePoint now)
+{
     std::vector<GroupMember> next = members_;
-    if (known == nullptr) {
-        GroupMember learner = joining;
-        learner.voter = false;
-        next.push_back(learner);
+    next.erase(std::remove_if(next.begin(), next.end(),
+                              [id](const GroupMember &member) { return member.id == id; }),
+               next.end());
+    joining_.erase(id);
+    appendMembers(next, now);
+}
+
+void Raft::promote(MemberId id, TimePoint now)
+{
+    std::vector<GroupMember> next = members_;
+    for (GroupMember &member : next) {
+        member.voter = member.voter || member.id == id;
+    }
+    joining_.erase(id);
+    appendMembers(next, now);
+}
+
+bool Raft::admitLearner(TimePoint now)
+{
+    for (const auto &entry : joining_) {
+        if (find(entry.first) != nullptr) {
+            continue;
+        }
+        std::vector<GroupMember> next = members_;
+        next.push_back(entry.second);
+        next.back().voter = false;
         appendMembers(next, now);
+        return true;
+    }
+    return false;
+}
+
+// One step at a time, each committed before the next: two changes at once could form two
+// majorities without a common member.
+void Raft::advanceMembership(TimePoint now)
+{
+    if (!leads() || joining_.empty() || !membershipSettled() || admitLearner(now)) {
         return;
     }
-    if (known->voter) {
-        joining_.erase(joining.id);
+    const GroupMember *candidate = bestCandidate(now);
+    if (candidate == nullptr) {
         return;
     }
-    const Progress &progress = progress_[joining.id];
-    const bool caughtUp = progress.match + caughtUpWithin >= log_.lastIndex()
-        && now - progress.heardAt < recentContact && progress.match > 0;
-    if (!caughtUp) {
+    // The old identity goes before the new one may vote.
+    const auto old = std::find_if(
+        members_.begin(), members_.end(), [this, candidate](const GroupMember &member) {
+            const bool samePlace
+                = member.name == candidate->name || member.address == candidate->address;
+            return samePlace && member.id != candidate->id && member.id != self_.id;
+        });
+    if (old != members_.end()) {
+        removeMember(old->id, now);
         return;
     }
-    // The old identity goes before the new one may vote: both at once could form two majorities.
-    const auto old = std::find_if(next.begin(), next.end(), [&joining](const GroupMember &member) {
-        return member.name == joining.name && member.id != joining.id;
-    });
-    if (old != next.end()) {
-        next.erase(old);
-        appendMembers(next, now);
+    if (options_.voterGoal == 0 || voters() < options_.voterGoal) {
+        promote(candidate->id, now);
         return;
     }
-    for (GroupMember &member : next) {
-        member.voter = member.voter || member.id == joining.id;
+    const GroupMember *silent = silentMember(true, replaceVoterAfter, now);
+    if (silent == nullptr) {
+        silent = silentMember(false, dropLearnerAfter, now);
+    }
+    if (silent != nullptr) {
+        removeMember(silent->id, now);
     }
-    joining_.erase(joining.id);
-    appendMembers(next, now);
 }
 
 } // namespace kumquat
--- a/src/coordination/control/ControlClient.h
+++ b/src/coordination/control/ControlClient.h
@@ -3,7 +3,7 @@
 /// Calls the control group on behalf of an entry and keeps track of its leader.
 /// One object serves one event loop; several may share the last leader known.
 
-#include "coordination/entry/RoutingTable.h"
+#include "protocol/ConfigurationVersion.h"
 #include "protocol/OnceMessages.h"
 #include "transport/HttpClient.h"
 
--- /dev/null
+++ b/src/coordination/control/ControlDocuments.cpp
@@ -0,0 +1,163 @@
+// Whole configuration documents, and the feed by which entries and members follow this member.
+#include "coordination/control/ControlServer.h"
+
+#include "common/JsonReader.h"
+#include "kumquat/Event.h"
+#include "protocol/ConfigurationVersion.h"
+#include "protocol/Wire.h"
+
+namespace kumquat {
+
+namespace {
+
+/// An operator moves on to another member after a second without an answer.
+constexpr Milliseconds documentTime { 1'500 };
+constexpr Milliseconds passOnTime { 1'500 };
+
+HttpResponse errorAnswer(http::status status, const absl::Status &error)
+{
+    Json::Value body;
+    body["error"] = std::string(error.message());
+    return textResponse(status, writeJson(body) + "\n");
+}
+
+HttpResponse notNow(const char *what)
+{
+    return errorAnswer(http::status::service_unavailable,
+                       makeError(ErrorKind::unavailable, what, "send it again, to any member"));
+}
+
+} // namespace
+
+void ControlServer::openFeed()
+{
+    TargetRegistryOptions options;
+    options.name = settings_.listenAddress;
+    options.heartbeat = Milliseconds(settings_.heartbeatMs);
+    TargetRegistryHooks hooks;
+    hooks.members = [this] { return members(); };
+    hooks.attachConfiguration = [this](const FeedPoll &poll, FeedAnswer &answer, Yield yield) {
+        attachConfiguration(poll, answer, yield);
+    };
+    hooks.hasNewerConfiguration
+        = [this](const FeedPoll &poll) { return hasNewerConfiguration(poll); };
+    registry_ = std::make_unique<TargetRegistry>(loop_, options, dialect_, std::move(hooks));
+
+    ControlFeedHooks feedHooks;
+    feedHooks.fillPoll = [](FeedPoll &) {};
+    feedHooks.take
+        = [this](const std::string &, const FeedAnswer &answer) { registry_->take(answer); };
+    feedHooks.reachabilityChanged = [](const std::string &member, bool reachable) {
+        logEvent(reachable ? Event::peerUp : Event::peerDown, LogLevel::info, "peer={}", member);
+    };
+    const ControlFeedOptions feedOptions { settings_.listenAddress, settings_.listenAddress, true };
+    feed_ = std::make_unique<ControlFeed>(loop_, authenticator_, feedOptions, std::move(feedHooks));
+    feed_->setSeeds(settings_.seeds);
+}
+
+std::vector<FeedMember> ControlServer::members() const
+{
+    std::vector<FeedMember> list;
+    for (const GroupMember &member : node_->raft().members()) {
+        list.push_back({ member.address, member.address, member.voter });
+    }
+    if (!node_->isVoter()) {
+        list.push_back({ settings_.listenAddress, settings_.listenAddress, false });
+    }
+    return list;
+}
+
+bool ControlServer::hasNewerConfiguration(const FeedPoll &poll) const
+{
+    if (poll.member || !node_->raft().leads()) {
+        return false;
+    }
+    const ConfigurationVersion present { node_->raft().epoch(),
+                                         node_->state().configuration().number() };
+    return present.number > 0 && ConfigurationVersion { poll.epoch, poll.number } < present;
+}
+
+// An entry that has nothing yet must not be handed an old version by a member that was cut off,
+// so its first one comes from a leader that a majority has confirmed. Later ones may come from
+// any member: what is applied is committed, and entries never go back.
+void ControlServer::attachConfiguration(const FeedPoll &poll, FeedAnswer &answer, Yield yield)
+{
+    if (poll.member || (poll.number == 0 && (!node_->raft().leads() || !confirmRead(yield)))) {
+        return;
+    }
+    const ConfigurationHistory &history = node_->state().configuration();
+    const ConfigurationVersion present { node_->raft().epoch(), history.number() };
+    if (present.number == 0 || !(ConfigurationVersion { poll.epoch, poll.number } < present)) {
+        return;
+    }
+    answer.epoch = present.epoch;
+    answer.number = present.number;
+    for (const FileWrite &file : history.files()) {
+        answer.names.push_back(file.name);
+        answer.contents.push_back(file.content);
+    }
+}
+
+HttpResponse ControlServer::takeDocument(const HttpRequest &request, Yield yield)
+{
+    const bool reads = request.method() == http::verb::get;
+    if (!reads) {
+        const auto document = dialect_.parseDocument(request.body());
+        if (!document.ok()) {
+            logEvent(Event::documentRefused, LogLevel::warning, "{}",
+                     std::string(document.status().message()));
+            return errorAnswer(http::status::bad_request, document.status());
+        }
+    }
+    if (!node_->raft().leads()) {
+        return passToLeader(request, yield);
+    }
+    return reads ? readDocument(yield) : putDocument(request, yield);
+}
+
+HttpResponse ControlServer::passToLeader(const HttpRequest &request, Yield yield)
+{
+    const std::string leader = node_->raft().leaderAddress();
+    const bool passedOn = !std::string(request[wire::passedOn]).empty();
+    if (leader.empty() || passedOn || leader == settings_.listenAddress) {
+        return notNow("this member knows no leader");
+    }
+    HttpRequest copy(request.method(), request.target(), 11);
+    copy.set(http::field::content_type, request[http::field::content_type]);
+    copy.set(wire::passedOn, "1");
+    copy.body() = request.body();
+    const auto answer = leaderClient_.send(*parseAddress(leader), std::move(copy), passOnTime, yield);
+    if (!answer.ok()) {
+        return notNow("the leader does not answer");
+    }
+    return textResponse(answer->result(), answer->body());
+}
+
+HttpResponse ControlServer::putDocument(const HttpRequest &request, Yield yield)
+{
+    const auto document = dialect_.parseDocument(request.body());
+    const std::uint64_t held = node_->state().configuration().documentVersion();
+    if (document->version <= held) {
+        return textResponse(http::status::ok, "{}");
+    }
+    ControlCommand command;
+    command.type = CommandType::document;
+    command.document = { document->version, request.body() };
+    const auto result = propose(std::move(command), documentTime, yield);
+    if (!result.ok()) {
+        return notNow("the group has not stored it yet");
+    }
+    logEvent(Event::documentTaken, LogLevel::info, "version={} number={}", document->version,
+             result->change.number);
+    return textResponse(http::status::ok, "{}");
+}
+
+HttpResponse ControlServer::readDocument(Yield yield)
+{
+    if (!confirmRead(yield) || node_->state().configuration().documentVersion() == 0) {
+        return notNow("this member cannot say which version is the newest");
+    }
+    return textResponse(http::status::ok, node_->state().configuration().document());
+}
+
+} // namespace kumquat
--- a/src/coordination/control/ControlProcess.cpp
+++ b/src/coordination/control/ControlProcess.cpp
@@ -10,8 +10,8 @@
 class Control : public ControlProcess
 {
 public:
-    Control(const ControlSettings &settings, const std::string &key)
-        : name_(settings.name), server_(settings, key)
+    Control(const ControlSettings &settings, const std::string &key, const Dialect &dialect)
+        : name_(settings.name), server_(settings, key, dialect)
     {
     }
 
@@ -49,9 +49,15 @@
     return *this;
 }
 
+ControlProcessBuilder &ControlProcessBuilder::dialect(const Dialect &dialect)
+{
+    dialect_ = &dialect;
+    return *this;
+}
+
 absl::StatusOr<std::unique_ptr<ControlProcess>> ControlProcessBuilder::build()
 {
-    auto control = std::make_unique<Control>(settings_, key_);
+    auto control = std::make_unique<Control>(settings_, key_, dialect_ == nullptr ? productDialect() : *dialect_);
     const absl::Status opened = control->open();
     if (!opened.ok()) {
         return opened;
--- a/src/coordination/control/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -30,8 +30,11 @@
 
 } // namespace
 
-ControlServer::ControlServer(ControlSettings settings, const std::string &key)
-    : settings_(std::move(settings)), authenticator_(std::make_shared<Authenticator>(key))
+ControlServer::ControlServer(ControlSettings settings, const std::string &key,
+                             const Dialect &dialect)
+    : settings_(std::move(settings)),
+      authenticator_(key.empty() ? nullptr : std::make_shared<Authenticator>(key)),
+      dialect_(dialect), leaderClient_(loop_, authenticator_)
 {
     server_ = std::make_shared<HttpServer>(
         loop_, [this](const HttpRequest &request, Yield yield) { return handle(request, yield); });
@@ -61,6 +64,15 @@
             options.peerAddresses.push_back(member.address);
         }
     }
+    if (!settings_.seeds.empty()) {
+        // An address names a member in the group: a replaced disk comes back at the same one.
+        options.name = settings_.listenAddress;
+        options.address = settings_.listenAddress;
+        options.peerAddresses = settings_.seeds;
+        options.founders = settings_.firstStart ? settings_.seeds : std::vector<std::string>();
+        options.raft.voterGoal = 2 * static_cast<std::size_t>(settings_.toleratedLosses) + 1;
+    }
+    options.failureDomain = settings_.failureDomain;
     address_ = *parseAddress(settings_.listenAddress.empty() ? options.address
                                                              : settings_.listenAddress);
     GroupNodeHooks hooks;
@@ -72,6 +84,9 @@
         for (Timer *poll : polls_) {
             poll->cancel();
         }
+        if (registry_) {
+            registry_->wake();
+        }
     };
     hooks.storeFailed
         = [](const absl::Status &status) { KUMQUAT_ASSERT(false, std::string(status.message())); };
@@ -88,6 +103,9 @@
         node_ = std::make_unique<GroupNode>(std::move(options), std::move(disk), std::move(hooks));
         status = node_->start();
     }
+    if (status.ok() && !settings_.seeds.empty()) {
+        openFeed();
+    }
     return status.ok() ? server_->listen(address_) : status;
 }
 
@@ -122,6 +140,10 @@
     while (true) {
         pauseFor(loop_, tickInterval, yield);
         node_->tick();
+        if (registry_) {
+            registry_->tick();
+            node_->setPeers(feed_->addresses());
+        }
     }
 }
 
@@ -142,11 +164,27 @@
     if (request.method() == http::verb::get && path == wire::metricsPath) {
         return textResponse(http::status::ok, metrics(), "text/plain; version=0.0.4");
     }
-    const absl::Status authentic = verifyRequest(*authenticator_, request);
+    if (registry_ && path.rfind(wire::targetsPath, 0) == 0) {
+        return registry_->announce(request, yield);
+    }
+    if (registry_ && path == wire::documentPath) {
+        return takeDocument(request, yield);
+    }
+    const absl::Status authentic
+        = authenticator_ ? verifyRequest(*authenticator_, request) : absl::OkStatus();
     if (!authentic.ok()) {
         return textResponse(http::status::forbidden, std::string(authentic.message()) + "\n",
                             "text/plain");
     }
+    return takeInternal(path, request, yield);
+}
+
+HttpResponse ControlServer::takeInternal(const std::string &path, const HttpRequest &request,
+                                         Yield yield)
+{
+    if (registry_ && path == wire::feedPath) {
+        return registry_->poll(request, yield);
+    }
     if (path == wire::raftPath) {
         return takeRaft(request);
     }
--- a/src/coordination/control/ControlServer.h
+++ b/src/coordination/control/ControlServer.h
@@ -5,6 +5,8 @@
 
 #include "coordination/consensus/GroupNode.h"
 #include "coordination/consensus/PeerLinks.h"
+#include "coordination/control/TargetRegistry.h"
+#include "coordination/membership/ControlFeed.h"
 #include "coordination/control/ControlRpc.h"
 #include "kumquat/Settings.h"
 #include "transport/HttpClient.h"
@@ -16,7 +18,7 @@
 class ControlServer
 {
 public:
-    ControlServer(ControlSettings settings, const std::string &key);
+    ControlServer(ControlSettings settings, const std::string &key, const Dialect &dialect);
 
     absl::Status open();
     /// Runs the event loop until stop().
@@ -39,6 +41,18 @@
     HttpResponse takeRpc(const HttpRequest &request, Yield yield);
     HttpResponse misdirected() const;
 
+    HttpResponse takeInternal(const std::string &path, const HttpRequest &request, Yield yield);
+
+    // Whole documents and what is learned from seeds.
+    void openFeed();
+    HttpResponse takeDocument(const HttpRequest &request, Yield yield);
+    HttpResponse putDocument(const HttpRequest &request, Yield yield);
+    HttpResponse readDocument(Yield yield);
+    HttpResponse passToLeader(const HttpRequest &request, Yield yield);
+    std::vector<FeedMember> members() const;
+    void attachConfiguration(const FeedPoll &poll, FeedAnswer &answer, Yield yield);
+    bool hasNewerConfiguration(const FeedPoll &poll) const;
+
     bool waitForNewer(std::uint64_t epoch, std::uint64_t number, Milliseconds wait, Yield yield);
     bool confirmRead(Yield yield);
     absl::StatusOr<ControlResult> propose(ControlCommand command, Milliseconds patience,
@@ -68,6 +82,10 @@
     std::unique_ptr<GroupNode> node_;
     std::unique_ptr<PeerLinks> links_;
     std::unique_ptr<ControlRpc> rpc_;
+    const Dialect &dialect_;
+    HttpClient leaderClient_;
+    std::unique_ptr<TargetRegistry> registry_; ///< only with seeds
+    std::unique_ptr<ControlFeed> feed_; ///< only with seeds
     std::set<Timer *> polls_; ///< each wakes a poll when the state changes
     std::map<std::string, EntryReport> entries_;
     std::uint64_t claims_ = 0;
--- /dev/null
+++ b/src/coordination/control/TargetRegistry.h
@@ -0,0 +1,77 @@
+#pragma once
+/// \file
+/// Takes what targets announce of themselves and serves the feed that entries and members follow.
+/// A departure is acknowledged only when a majority of the group and the live entries know it.
+
+#include "coordination/membership/TargetFeed.h"
+#include "protocol/Dialect.h"
+#include "transport/HttpServer.h"
+
+namespace kumquat {
+
+struct TargetRegistryHooks
+{
+    /// The processes of the group, this one included.
+    std::function<std::vector<FeedMember>()> members;
+    /// Attaches a configuration newer than the poll's when this member may hand one out.
+    std::function<void(const FeedPoll &, FeedAnswer &, Yield)> attachConfiguration;
+    /// True when this member leads and holds a configuration newer than the poll's.
+    std::function<bool(const FeedPoll &)> hasNewerConfiguration;
+};
+
+struct TargetRegistryOptions
+{
+    std::string name;
+    Milliseconds heartbeat { 1'500 }; ///< between two announcements of a target
+};
+
+class TargetRegistry
+{
+public:
+    TargetRegistry(asio::io_context &context, TargetRegistryOptions options, const Dialect &dialect,
+                   TargetRegistryHooks hooks);
+
+    /// Answers a target's heartbeat or departure.
+    HttpResponse announce(const HttpRequest &request, Yield yield);
+    HttpResponse poll(const HttpRequest &request, Yield yield);
+
+    /// Takes what another member's feed says.
+    void take(const FeedAnswer &answer);
+
+    /// To be called some times a second.
+    void tick();
+    /// Lets waiting calls look again, as after a change of the configuration.
+    void wake();
+
+    const TargetFeed &feed() const { return feed_; }
+    std::size_t followers() const { return followers_.size(); }
+
+private:
+    struct Follower
+    {
+        std::uint64_t life = 0;
+        std::uint64_t acknowledged = 0; ///< cursor of this feed
+        bool member = false;
+        TimePoint heardAt;
+        TimePoint renewedAt;
+    };
+
+    HttpResponse takeRecord(const TargetRecord &record, Yield yield);
+    bool waitUntilKnown(std::uint64_t cursor, Yield yield);
+    bool majorityKnows(std::uint64_t cursor) const;
+    bool entriesKnow(std::uint64_t cursor, TimePoint now) const;
+    Follower &noteFollower(const FeedPoll &poll);
+    FeedAnswer answerTo(const FeedPoll &poll, Follower &follower);
+    void waitForNews(const FeedPoll &poll, std::uint64_t known, Yield yield);
+
+    asio::io_context &context_;
+    TargetRegistryOptions options_;
+    const Dialect &dialect_;
+    TargetRegistryHooks hooks_;
+    TargetFeed feed_;
+    std::uint64_t life_;
+    std::map<std::string, Follower> followers_;
+    std::set<Timer *> waiting_;
+};
+
+} // namespace kumquat
--- a/src/coordination/entry/Attempt.h
+++ b/src/coordination/entry/Attempt.h
@@ -4,6 +4,7 @@
 /// What an attempt proves about the request's run decides whether it may be retried.
 
 #include "coordination/entry/RoutingTable.h"
+#include "protocol/Dialect.h"
 #include "protocol/OnceMessages.h"
 #include "protocol/TargetPool.h"
 
--- a/src/coordination/entry/EntryCoordinator.cpp
+++ b/src/coordination/entry/EntryCoordinator.cpp
@@ -4,6 +4,7 @@
 #include "kumquat/Event.h"
 #include "protocol/Announcement.h"
 #include "protocol/Wire.h"
+#include "state/ConfigurationHistory.h"
 #include "transport/Spawn.h"
 
 #include <absl/strings/match.h>
@@ -43,6 +44,19 @@
     return textResponse(status, writeJson(body) + "\n");
 }
 
+absl::StatusOr<Configuration> parseFiles(std::vector<ConfigurationFile> files,
+                                         const Dialect &dialect)
+{
+    if (files.size() != 1 || files.front().name != documentFile) {
+        return parseConfiguration(std::move(files));
+    }
+    auto document = dialect.parseDocument(files.front().content);
+    if (!document.ok()) {
+        return document.status();
+    }
+    return std::move(document->configuration);
+}
+
 } // namespace
 
 EntryCoordinator::EntryCoordinator(EntryCore &core, EntrySettings settings,
@@ -74,14 +88,23 @@
     GossipOptions options;
     options.name = settings_.name;
     options.incarnation = static_cast<std::uint64_t>(wallTime().count());
-    options.address = *parseAddress(settings_.gossipAddress);
+    if (!settings_.gossipAddress.empty()) {
+        options.address = *parseAddress(settings_.gossipAddress);
+    }
     options.peers = parsed(settings_.gossipPeers);
     options.seed = randomSeed();
     gossip_ = std::make_unique<Gossip>(std::move(options), membership_, std::move(hooks));
+    if (!settings_.controlSeeds.empty()) {
+        openFeed();
+    }
     server_ = std::make_shared<HttpServer>(
         loop_, [this](const HttpRequest &request, Yield yield) { return handle(request, yield); });
     core_.hooks.suspectRequest = [this](std::uint64_t fingerprint, const std::string &target) {
         asio::post(loop_, [this, suspicion = RequestSuspicion { fingerprint, target }] {
+            if (followsFeed()) {
+                unsentSuspicions_.push_back({ suspicion.fingerprint, suspicion.target, 0 });
+                return;
+            }
             gossip_->spreadSuspicion(suspicion);
             gossip_->tick(Clock::now());
         });
@@ -94,6 +117,9 @@
 
 absl::Status EntryCoordinator::open()
 {
+    if (followsFeed()) {
+        return server_->listen(*parseAddress(settings_.internalAddress));
+    }
     const absl::Status bound
         = datagrams_.open(*parseAddress(settings_.gossipAddress), [this](const std::string &text) {
               gossip_->receive(text, Clock::now());
@@ -103,10 +129,14 @@
 
 void EntryCoordinator::start()
 {
-    lastTick_ = Clock::now();
-    core_.lastTick = lastTick_.time_since_epoch().count();
+    lastTick_ = bootTime();
+    core_.noteTick();
     spawnOn(loop_, [this](Yield yield) { tickForever(yield); });
-    spawnOn(loop_, [this](Yield yield) { followConfiguration(yield); });
+    if (followsFeed()) {
+        feed_->setSeeds(settings_.controlSeeds);
+    } else {
+        spawnOn(loop_, [this](Yield yield) { followConfiguration(yield); });
+    }
     thread_ = std::thread([this] { loop_.run(); });
 }
 
@@ -133,7 +163,7 @@
         return announce(request, yield);
     }
     if (path == wire::readyPath) {
-        const bool ready = core_.ready && !core_.stopping;
+        const bool ready = core_.ready && !core_.stopping && core_.isFresh();
         return textResponse(ready ? http::status::ok : http::status::service_unavailable,
                             ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n");
     }
@@ -233,16 +263,20 @@
         pauseFor(loop_, Gossip::tickInterval, yield);
         const TimePoint now = Clock::now();
         noticeFreeze(now);
-        gossip_->tick(now);
+        if (!followsFeed()) {
+            gossip_->tick(now);
+        }
         judgeTargets(now);
         if (tick % ticksPerLeaseCheck == 0) {
-            judgeLeases(now);
+            if (!followsFeed()) {
+                judgeLeases(now);
+            }
             membership_.forgetGone(now);
         }
-        if (gossip_->refreshed()) {
-            core_.lastTick = Clock::now().time_since_epoch().count();
+        if (!stale_ && gossip_->refreshed()) {
+            core_.noteTick();
         }
-        lastTick_ = now;
+        lastTick_ = bootTime();
     }
 }
 
@@ -250,15 +284,21 @@
 // said what changed, or until it is clear that none will.
 void EntryCoordinator::noticeFreeze(TimePoint now)
 {
-    if (now - lastTick_ > EntryCore::staleAfter) {
-        logEvent(Event::processResumed, LogLevel::warning, "stopped for {} ms",
-                 static_cast<int>(toMilliseconds(now - lastTick_)));
-        gossip_->refresh(now);
-        spawnOn(loop_, [this](Yield inner) {
-            pauseFor(loop_, refreshTime, inner);
-            core_.lastTick = Clock::now().time_since_epoch().count();
-        });
+    const Clock::duration stopped = bootTime() - lastTick_;
+    if (stopped <= EntryCore::staleAfter) {
+        return;
     }
+    logEvent(Event::processResumed, LogLevel::warning, "stopped for {} ms",
+             static_cast<int>(toMilliseconds(stopped)));
+    if (followsFeed()) {
+        refreshAfterFreeze(now);
+        return;
+    }
+    gossip_->refresh(now);
+    spawnOn(loop_, [this](Yield inner) {
+        pauseFor(loop_, refreshTime, inner);
+        core_.noteTick();
+    });
 }
 
 void EntryCoordinator::judgeTargets(TimePoint now)
@@ -364,7 +404,7 @@
     for (std::size_t i = 0; i < update.names.size(); ++i) {
         files.push_back({ update.names[i], update.contents[i] });
     }
-    auto configuration = parseConfiguration(std::move(files));
+    auto configuration = parseFiles(std::move(files), *core_.dialect);
     if (!configuration.ok()) {
         logEvent(Event::configurationRejected, LogLevel::error, "version={}.{} {}", version.epoch,
                  version.number, std::string(configuration.status().message()));
@@ -398,12 +438,15 @@
     if (!runtime) {
         runtime = std::make_shared<ServiceRuntime>();
     }
-    runtime->retryBudget.setShare(service.retry.budget);
+    if (!followsFeed()) {
+        runtime->retryBudget.setShare(service.retry.budget);
+    }
     auto active = std::make_shared<ActiveService>();
     active->configuration = service;
     active->chooser = makeChooser(service.chooser);
     active->runtime = runtime;
-    active->entries = gossip_->livePeers() + 1;
+    active->entries = liveEntries();
+    active->failureDomain = settings_.failureDomain;
     for (const TargetRecord &record : membership_.all()) {
         if (record.service == service.name && record.state <= TargetState::ready) {
             active->targets.push_back(std::make_shared<const Target>(
@@ -434,6 +477,7 @@
     for (const Service &service : configuration_.services) {
         table->services.push_back(activeService(service, now));
     }
+    publishHostRoutes(*table);
     core_.routing.publish(table);
     for (const auto &service : table->services) {
         service->runtime->wakeOne();
--- a/src/coordination/entry/EntryCoordinator.h
+++ b/src/coordination/entry/EntryCoordinator.h
@@ -5,6 +5,7 @@
 
 #include "coordination/control/ControlClient.h"
 #include "coordination/entry/EntryCore.h"
+#include "coordination/membership/ControlFeed.h"
 #include "coordination/membership/Gossip.h"
 #include "coordination/policy/OutlierEjection.h"
 #include "kumquat/Settings.h"
@@ -49,6 +50,18 @@
     void probe(const TargetRecord &record, Yield yield);
     void setReachable(const TargetRecord &record, bool reachable, bool spread);
 
+    // What is learned from the control group when targets announce themselves there.
+    void openFeed();
+    void fillPoll(FeedPoll &poll);
+    void takeFeed(const std::string &member, const FeedAnswer &answer);
+    void takeFeedItem(const std::string &member, const FeedItem &item);
+    void noteReachability(const std::string &member, bool reachable);
+    bool followsFeed() const { return feed_ != nullptr; }
+    std::size_t liveEntries() const;
+    void refreshAfterFreeze(TimePoint now);
+    void publishHostRoutes(RoutingTable &table);
+    void reloadSettings();
+
     void followConfiguration(Yield yield);
     void takeConfiguration(const ConfigurationUpdate &update);
     /// Publishes a new routing table soon; changes that come together share one.
@@ -71,6 +84,11 @@
     ControlClient control_;
     Membership membership_;
     std::unique_ptr<Gossip> gossip_;
+    std::unique_ptr<ControlFeed> feed_; ///< null when targets announce themselves here
+    std::map<std::string, std::set<std::string>> silentAt_; ///< targets, by member
+    std::vector<FeedSuspicion> unsentSuspicions_;
+    std::map<std::string, std::uint32_t> entriesAt_; ///< entries that follow each member
+    std::map<std::string, std::shared_ptr<RouteRuntime>> routeRuntimes_;
     OutlierEjection ejection_;
     Configuration configuration_;
     ConfigurationVersion version_;
@@ -81,8 +99,9 @@
     TokenBucket probeBudget_;
     std::uint64_t probesSent_ = 0;
     std::uint64_t probesHeldBack_ = 0;
-    TimePoint lastTick_;
+    TimePoint lastTick_; ///< of the boot clock
     bool publishing_ = false;
+    bool stale_ = false; ///< woken after a freeze and not told yet what has changed
     std::thread thread_;
 };
 
--- a/src/coordination/entry/EntryCore.h
+++ b/src/coordination/entry/EntryCore.h
@@ -23,12 +23,15 @@
     std::atomic<bool> ready { false };
     std::atomic<int> connections { 0 };
     std::atomic<std::uint64_t> unrouted { 0 };
+    const Dialect *dialect = &productDialect();
 
-    bool isFresh(TimePoint now) const
+    /// True while what this entry knows is recent; time during which it was suspended counts.
+    bool isFresh() const
     {
         const TimePoint tick { Clock::duration(lastTick.load(std::memory_order_relaxed)) };
-        return now - tick < staleAfter;
+        return bootTime() - tick < staleAfter;
     }
+    void noteTick() { lastTick = bootTime().time_since_epoch().count(); }
 };
 
 } // namespace kumquat
--- /dev/null
+++ b/src/coordination/entry/EntryFeed.cpp
@@ -0,0 +1,157 @@
+// What an entry learns from the control group when targets announce themselves there: targets,
+// configuration, requests that end targets, the number of entries.
+#include "coordination/entry/EntryCoordinator.h"
+
+#include "kumquat/Event.h"
+#include "transport/Spawn.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+/// How often a woken entry looks whether the group has answered it.
+constexpr Milliseconds freezeCheck { 10 };
+/// A budget is shared by entries that each know of the others only roughly.
+constexpr double budgetMargin = 0.7;
+
+} // namespace
+
+void EntryCoordinator::openFeed()
+{
+    ControlFeedHooks hooks;
+    hooks.fillPoll = [this](FeedPoll &poll) { fillPoll(poll); };
+    hooks.take = [this](const std::string &member, const FeedAnswer &answer) {
+        takeFeed(member, answer);
+    };
+    hooks.reachabilityChanged = [this](const std::string &member, bool reachable) {
+        noteReachability(member, reachable);
+    };
+    const ControlFeedOptions options { settings_.name, "", false };
+    feed_ = std::make_unique<ControlFeed>(loop_, authenticator_, options, std::move(hooks));
+}
+
+void EntryCoordinator::fillPoll(FeedPoll &poll)
+{
+    poll.epoch = version_.epoch;
+    poll.number = version_.number;
+    poll.suspicions = unsentSuspicions_;
+}
+
+void EntryCoordinator::noteReachability(const std::string &member, bool reachable)
+{
+    controlReachable_ = feed_->reachable() > 0;
+    logEvent(reachable ? Event::controlReached : Event::controlUnreachable, LogLevel::info,
+             "member={} reachable={}", member, feed_->reachable());
+    if (!reachable) {
+        entriesAt_.erase(member);
+        silentAt_.erase(member);
+    }
+}
+
+void EntryCoordinator::takeFeed(const std::string &member, const FeedAnswer &answer)
+{
+    const std::size_t entriesBefore = liveEntries();
+    entriesAt_[member] = answer.entries;
+    unsentSuspicions_.clear();
+    for (const FeedSuspicion &suspicion : answer.suspicions) {
+        suspectRequest({ suspicion.fingerprint, suspicion.target });
+    }
+    for (const FeedItem &item : answer.items) {
+        takeFeedItem(member, item);
+    }
+    if (answer.number > 0) {
+        ConfigurationUpdate update;
+        update.epoch = answer.epoch;
+        update.number = answer.number;
+        update.names = answer.names;
+        update.contents = answer.contents;
+        takeConfiguration(update);
+    }
+    // A change of targets is in force before the next call acknowledges it.
+    if (!answer.items.empty() || liveEntries() != entriesBefore) {
+        publishNow();
+    }
+}
+
+void EntryCoordinator::takeFeedItem(const std::string &member, const FeedItem &item)
+{
+    const TargetRecord &record = item.record;
+    if (membership_.merge(record, Clock::now())) {
+        const Event event = record.state == TargetState::gone ? Event::targetGone
+            : record.state == TargetState::draining           ? Event::targetDraining
+                                                              : Event::targetAnnounced;
+        logEvent(event, LogLevel::info, "target={} service={} state={} incarnation={} from={}",
+                 record.name, record.service, targetStateName(record.state), record.incarnation,
+                 member);
+    }
+    if (item.silent) {
+        silentAt_[member].insert(record.name);
+    } else {
+        silentAt_[member].erase(record.name);
+    }
+    // A member that was cut off has heard nothing itself: one that has heard the target is enough.
+    const bool silentEverywhere = std::all_of(
+        entriesAt_.begin(), entriesAt_.end(),
+        [this, &record](const auto &entry) { return silentAt_[entry.first].count(record.name) > 0; });
+    const auto stats = stats_.find(record.name);
+    if (stats != stats_.end()) {
+        setReachable(record, !silentEverywhere, false);
+    }
+}
+
+std::size_t EntryCoordinator::liveEntries() const
+{
+    if (!followsFeed()) {
+        return gossip_->livePeers() + 1;
+    }
+    std::size_t most = 1;
+    for (const auto &entry : entriesAt_) {
+        most = std::max<std::size_t>(most, entry.second);
+    }
+    return most;
+}
+
+// Nothing is served until a member has answered a call that began after the wake.
+void EntryCoordinator::refreshAfterFreeze(TimePoint now)
+{
+    stale_ = true;
+    spawnOn(loop_, [this, now](Yield yield) {
+        while (!feed_->answeredSince(now)) {
+            pauseFor(loop_, freezeCheck, yield);
+        }
+        stale_ = false;
+        core_.noteTick();
+    });
+}
+
+void EntryCoordinator::publishHostRoutes(RoutingTable &table)
+{
+    table.callerLimits = configuration_.callerLimits;
+    std::map<std::string, std::shared_ptr<const ActiveService>> services;
+    for (const auto &service : table.services) {
+        services[service->configuration.name] = service;
+        if (followsFeed()) {
+            const SharedRetryBudget &budget = settings_.retryBudget;
+            service->runtime->retryBudget.setShare(budget.ratio * budgetMargin);
+            service->runtime->retryBudget.setMost(
+                std::max(1.0, budget.slack * budgetMargin / static_cast<double>(liveEntries())));
+        }
+    }
+    for (const HostRoute &route : configuration_.hostRoutes) {
+        auto active = std::make_shared<ActiveRoute>();
+        active->configuration = route;
+        for (const Destination &destination : route.destinations) {
+            active->services.push_back(services[destination.service]);
+        }
+        auto &runtime = routeRuntimes_[route.name];
+        if (!runtime) {
+            runtime = std::make_shared<RouteRuntime>();
+        }
+        active->runtime = runtime;
+        table.hostRoutes[routeKey(route.hostname, route.pathPrefix)] = std::move(active);
+    }
+}
+
+} // namespace kumquat
--- a/src/coordination/entry/EntryProcess.cpp
+++ b/src/coordination/entry/EntryProcess.cpp
@@ -13,16 +13,16 @@
 namespace {
 
 constexpr Milliseconds drainPoll { 50 };
-constexpr Milliseconds longestDrain { 600'000 };
 
 class Entry : public EntryProcess
 {
 public:
-    Entry(EntrySettings settings, const std::string &key)
-        : settings_(std::move(settings)), authenticator_(std::make_shared<Authenticator>(key)),
-          leader_(std::make_shared<std::atomic<std::size_t>>(0)),
+    Entry(EntrySettings settings, const std::string &key, const Dialect &dialect)
+        : settings_(std::move(settings)),
+          authenticator_(key.empty() ? nullptr : std::make_shared<Authenticator>(key)), leader_(std::make_shared<std::atomic<std::size_t>>(0)),
           coordinator_(core_, settings_, authenticator_, leader_)
     {
+        core_.dialect = &dialect;
         for (int i = 0; i < settings_.threads; ++i) {
             addWorker();
         }
@@ -107,7 +107,7 @@
         for (auto &worker : workers_) {
             worker.drain();
         }
-        const TimePoint end = Clock::now() + longestDrain;
+        const TimePoint end = Clock::now() + Milliseconds(settings_.stopLimitMs);
         while (core_.connections > 0 && Clock::now() < end) {
             std::this_thread::sleep_for(drainPoll);
         }
@@ -138,9 +138,15 @@
     return *this;
 }
 
+EntryProcessBuilder &EntryProcessBuilder::dialect(const Dialect &dialect)
+{
+    dialect_ = &dialect;
+    return *this;
+}
+
 absl::StatusOr<std::unique_ptr<EntryProcess>> EntryProcessBuilder::build()
 {
-    auto entry = std::make_unique<Entry>(settings_, key_);
+    auto entry = std::make_unique<Entry>(settings_, key_, dialect_ == nullptr ? productDialect() : *dialect_);
     const absl::Status opened = entry->open();
     if (!opened.ok()) {
         return opened;
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -107,16 +107,20 @@
     const TimePoint start = Clock::now();
     const std::string path = pathOf(caller.header());
     if (path == wire::readyPath) {
-        const bool ready = core_.ready && !core_.stopping && core_.isFresh(start);
+        const bool ready = core_.ready && !core_.stopping && core_.isFresh();
         (void)caller.writeWhole(ready ? textResponse(http::status::ok, "{\"ready\":true}\n")
                                       : refusal(RefusalReason::notReady, RunOutcome::notRun),
                                 yield);
         return;
     }
-    if (!core_.ready || !core_.isFresh(start)) {
+    if (!core_.ready || !core_.isFresh()) {
         (void)caller.writeWhole(refusal(RefusalReason::notReady, RunOutcome::notRun), yield);
         return;
     }
+    if (!core_.dialect->headers.sendingId.empty()) {
+        serveHostRoute(caller, start, yield);
+        return;
+    }
     const RouteMatch match
         = core_.routing.read()->match(std::string(caller.header().method_string()), path);
     if (!match.service) {
@@ -125,7 +129,7 @@
         return;
     }
     Milliseconds allowed = match.service->configuration.deadline;
-    const auto asked = readDeadline(caller.header());
+    const auto asked = readDeadline(caller.header(), wire::deadline);
     allowed = asked ? std::min(allowed, *asked) : allowed;
     admit(caller, match, start + allowed, yield);
 }
@@ -152,6 +156,7 @@
             serveOnce(call, std::string(caller.header()[wire::idempotencyKey]), yield);
             break;
         case RequestKind::upload:
+        case RequestKind::single:
             serveUpload(call, yield);
             break;
         }
@@ -162,6 +167,61 @@
     runtime.leave();
 }
 
+void EntryWorker::serveHostRoute(CallerConnection &caller, TimePoint start, Yield yield)
+{
+    const auto &header = caller.header();
+    const auto host = header[http::field::host];
+    const std::string path = pathOf(header);
+    const auto routing = core_.routing.read();
+    const ActiveRoutePtr route = routing->matchHost({ host.data(), host.size() }, path);
+    if (!route) {
+        ++core_.unrouted;
+        (void)caller.writeWhole(refusal(RefusalReason::noRoute, RunOutcome::notRun), yield);
+        return;
+    }
+    const HeaderNames &names = core_.dialect->headers;
+    RoutedRequest request { caller, worker_,       *core_.dialect, route, route->nextService(),
+                            routing->version,      start,          {},    {},
+                            std::string(header[names.sendingId]),  0 };
+    const Milliseconds timeout = route->configuration.timeout;
+    request.deadline = start + std::min(timeout, readDeadline(header, names.deadline).value_or(timeout));
+    ServiceRuntime &runtime = *request.service->runtime;
+    ++runtime.counters.requests;
+    runtime.retryBudget.earn();
+    if (readRouted(request, yield)) {
+        serveRouted(request, yield);
+    }
+}
+
+bool EntryWorker::readRouted(RoutedRequest &request, Yield yield)
+{
+    const auto refuseWith = [&request, yield](RefusalReason reason) {
+        ++request.service->runtime->counters.refused[static_cast<std::size_t>(reason)];
+        (void)request.caller.writeWhole(refusal(reason, RunOutcome::notRun), yield);
+        return false;
+    };
+    request.request = HttpRequest(request.caller.header());
+    removeHopByHop(request.request);
+    const auto limit
+        = static_cast<std::size_t>(core_.routing.read()->callerLimits.maxBodyBytes);
+    const ErrorCode error
+        = request.caller.readBody(request.request.body(), limit, request.deadline, yield);
+    if (error == http::error::body_limit) {
+        return refuseWith(RefusalReason::requestTooLarge);
+    }
+    if (error) {
+        ++request.service->runtime->counters.departed;
+        request.caller.abort();
+        return false;
+    }
+    request.request.prepare_payload();
+    request.fingerprint = fingerprintOf(request.request);
+    if (core_.quarantine.isQuarantined(request.fingerprint, Clock::now())) {
+        return refuseWith(RefusalReason::quarantined);
+    }
+    return true;
+}
+
 // Reads what must be known before a target is chosen; false when the request was refused.
 bool EntryWorker::prepare(Call &call, RequestKind kind, Yield yield)
 {
--- a/src/coordination/entry/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -6,6 +6,7 @@
 #include "coordination/control/ControlClient.h"
 #include "coordination/entry/Call.h"
 #include "coordination/entry/EntryCore.h"
+#include "coordination/entry/RoutedCall.h"
 #include "protocol/CallerConnection.h"
 
 #include <set>
@@ -34,6 +35,8 @@
     void serve(TcpSocket socket, Yield yield);
     void handle(CallerConnection &caller, Yield yield);
     void admit(CallerConnection &caller, const RouteMatch &match, TimePoint deadline, Yield yield);
+    void serveHostRoute(CallerConnection &caller, TimePoint start, Yield yield);
+    bool readRouted(RoutedRequest &request, Yield yield);
     bool prepare(Call &call, RequestKind kind, Yield yield);
 
     EntryCore &core_;
--- /dev/null
+++ b/src/coordination/entry/RoutedExchange.h
@@ -0,0 +1,37 @@
+#pragma once
+/// \file
+/// Sends one request of a host route to one target and checks that the answer is its own.
+/// What the end proves about the request's run decides whether it may be sent again.
+
+#include "coordination/entry/RoutedCall.h"
+
+namespace kumquat {
+
+enum class ExchangeEnd {
+    answered, ///< the whole answer is in `response`
+    notRun, ///< the target says that it did not run the request
+    notSent, ///< no byte of the request left this entry
+    broken, ///< the connection ended, or what came is no answer to this request
+    late, ///< no whole answer in time, or cancelled
+};
+
+const char *exchangeEndName(ExchangeEnd end);
+
+/// True when the request was certainly not run.
+bool provesNotRun(ExchangeEnd end);
+
+struct ExchangeResult
+{
+    ExchangeEnd end = ExchangeEnd::notSent;
+    HttpResponse response;
+    bool wrongTarget = false; ///< another target has the address
+    bool pooled = false; ///< the connection had served before
+    bool silent = false; ///< not one byte came back
+    bool reset = false; ///< the peer ended the connection
+};
+
+/// Sends \p request to \p target, whose place the caller holds and gives back.
+ExchangeResult exchangeWith(RoutedRequest &request, const Target &target, AttemptHandle &handle,
+                            Yield yield);
+
+} // namespace kumquat
--- a/src/coordination/entry/RoutingTable.cpp
+++ b/src/coordination/entry/RoutingTable.cpp
@@ -1,6 +1,8 @@
 #include "coordination/entry/RoutingTable.h"
 
+#include <absl/strings/ascii.h>
 #include <algorithm>
+#include <cmath>
 
 namespace kumquat {
 
@@ -17,8 +19,54 @@
     return prefix && (route.methods.empty() || namesMethod(route, method));
 }
 
+// A low-discrepancy sequence: consecutive requests fall evenly over [0, 1).
+constexpr double goldenFraction = 0.618033988749895;
+
 } // namespace
 
+std::string routeKey(std::string_view host, std::string_view pathPrefix)
+{
+    const std::string_view name = host.substr(0, host.find(':'));
+    std::string key = absl::AsciiStrToLower(absl::string_view(name.data(), name.size()));
+    key += '\n';
+    key.append(pathPrefix);
+    return key;
+}
+
+const std::shared_ptr<const ActiveService> &ActiveRoute::nextService() const
+{
+    if (services.size() == 1) {
+        return services.front();
+    }
+    std::int64_t total = 0;
+    for (const Destination &destination : configuration.destinations) {
+        total += destination.weight;
+    }
+    const auto turn = static_cast<double>(runtime->requests.fetch_add(1));
+    const double place = std::fmod(turn * goldenFraction, 1.0) * static_cast<double>(total);
+    double passed = 0;
+    for (std::size_t i = 0; i + 1 < services.size(); ++i) {
+        passed += configuration.destinations[i].weight;
+        if (place < passed) {
+            return services[i];
+        }
+    }
+    return services.back();
+}
+
+// Prefixes end in a slash, so only as many are looked up as the path has slashes.
+ActiveRoutePtr RoutingTable::matchHost(std::string_view host, std::string_view path) const
+{
+    for (std::size_t end = path.rfind('/'); end != std::string_view::npos;) {
+        const auto found = hostRoutes.find(routeKey(host, path.substr(0, end + 1)));
+        if (found != hostRoutes.end()) {
+            return found->second;
+        }
+        end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
 RouteMatch RoutingTable::match(const std::string &method, const std::string &path) const
 {
     RouteMatch best;
--- a/src/coordination/entry/RoutingTable.h
+++ b/src/coordination/entry/RoutingTable.h
@@ -4,24 +4,12 @@
 /// A change of configuration or targets publishes a new table; requests keep the one they read.
 
 #include "coordination/entry/ServiceRuntime.h"
+#include "protocol/ConfigurationVersion.h"
 
-namespace kumquat {
+#include <string_view>
+#include <unordered_map>
 
-/// Versions of the configuration are ordered by epoch, then by number.
-struct ConfigurationVersion
-{
-    std::uint64_t epoch = 0;
-    std::uint64_t number = 0;
-
-    bool operator<(const ConfigurationVersion &other) const
-    {
-        return epoch != other.epoch ? epoch < other.epoch : number < other.number;
-    }
-    bool operator==(const ConfigurationVersion &other) const
-    {
-        return epoch == other.epoch && number == other.number;
-    }
-};
+namespace kumquat {
 
 struct RouteMatch
 {
@@ -29,6 +17,25 @@
     RequestKind kind = RequestKind::idempotent;
 };
 
+/// What an entry keeps of a route while it runs; it outlives changes of the configuration.
+struct RouteRuntime
+{
+    std::atomic<std::uint64_t> requests { 0 };
+};
+
+/// A route with the services that its requests are split among; one immutable version of it.
+struct ActiveRoute
+{
+    HostRoute configuration;
+    std::vector<std::shared_ptr<const ActiveService>> services; ///< one for each destination
+    std::shared_ptr<RouteRuntime> runtime;
+
+    /// The service of the next request: each gets its share in any short run of requests.
+    const std::shared_ptr<const ActiveService> &nextService() const;
+};
+
+using ActiveRoutePtr = std::shared_ptr<const ActiveRoute>;
+
 struct RoutingTable
 {
     ConfigurationVersion version; ///< number 0: no configuration yet
@@ -36,6 +43,15 @@
 
     /// The longest matching prefix wins; at equal length a route that names the method.
     RouteMatch match(const std::string &method, const std::string &path) const;
+
+    std::unordered_map<std::string, ActiveRoutePtr> hostRoutes; ///< by routeKey()
+    CallerLimits callerLimits;
+
+    /// The route of a host with the longest prefix of \p path; null when there is none.
+    ActiveRoutePtr matchHost(std::string_view host, std::string_view path) const;
 };
 
+/// The key of a route among all hosts; the host is taken without its port, in lower case.
+std::string routeKey(std::string_view host, std::string_view pathPrefix);
+
 } // namespace kumquat
--- a/src/coordination/entry/ServiceRuntime.h
+++ b/src/coordination/entry/ServiceRuntime.h
@@ -78,6 +78,7 @@
     std::shared_ptr<ServiceRuntime> runtime;
     std::vector<TargetPtr> targets;
     std::size_t entries = 1; ///< live entries that share the targets, this one included
+    std::string failureDomain; ///< of this entry
 
     int limitAt(const Target &target, TimePoint now) const
     {
--- a/src/coordination/policy/RetryBudget.h
+++ b/src/coordination/policy/RetryBudget.h
@@ -11,9 +11,10 @@
 class RetryBudget
 {
 public:
-    /// Retries that may be saved up while nothing fails.
-    static constexpr double maxSaved = 20;
+    /// Retries that may be saved up while nothing fails, unless set otherwise.
+    static constexpr double defaultMost = 20;
 
+    void setMost(double most) { most_.store(most, std::memory_order_relaxed); }
     void setShare(double share) { share_.store(share, std::memory_order_relaxed); }
 
     void earn()
@@ -21,7 +22,7 @@
         double saved = saved_.load(std::memory_order_relaxed);
         double next = 0;
         do {
-            next = std::min(maxSaved, saved + share_.load(std::memory_order_relaxed));
+            next = std::min(most_.load(std::memory_order_relaxed), saved + share_.load(std::memory_order_relaxed));
         } while (!saved_.compare_exchange_weak(saved, next, std::memory_order_relaxed));
     }
 
@@ -38,7 +39,8 @@
 
 private:
     std::atomic<double> share_ { 0 };
-    std::atomic<double> saved_ { maxSaved };
+    std::atomic<double> saved_ { defaultMost };
+    std::atomic<double> most_ { defaultMost };
 };
 
 } // namespace kumquat
--- /dev/null
+++ b/src/protocol/ConfigurationVersion.h
@@ -0,0 +1,26 @@
+#pragma once
+/// \file
+/// Defines how versions of the configuration are ordered.
+/// An epoch is the life of one control group; numbers count its accepted changes.
+
+#include <cstdint>
+
+namespace kumquat {
+
+/// Versions of the configuration are ordered by epoch, then by number.
+struct ConfigurationVersion
+{
+    std::uint64_t epoch = 0;
+    std::uint64_t number = 0;
+
+    bool operator<(const ConfigurationVersion &other) const
+    {
+        return epoch != other.epoch ? epoch < other.epoch : number < other.number;
+    }
+    bool operator==(const ConfigurationVersion &other) const
+    {
+        return epoch == other.epoch && number == other.number;
+    }
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/protocol/FeedMessage.h
@@ -0,0 +1,78 @@
+#pragma once
+/// \file
+/// Defines how entries and members of the control group follow what a member knows: targets,
+/// configuration, requests that end targets, and the processes themselves.
+
+#include "kumquat/TargetRecord.h"
+
+namespace kumquat {
+
+/// What a member knows of one target.
+struct FeedItem
+{
+    TargetRecord record;
+    bool silent = false; ///< no heartbeat reached any member for the lease
+    MSGPACK_DEFINE(record, silent)
+};
+
+/// A heartbeat that changed nothing but its number.
+struct FeedRenewal
+{
+    std::string target;
+    std::uint64_t incarnation = 0;
+    std::uint64_t version = 0;
+    MSGPACK_DEFINE(target, incarnation, version)
+};
+
+/// A request, by a hash of its content, under which a target ended.
+struct FeedSuspicion
+{
+    std::uint64_t fingerprint = 0;
+    std::string target;
+    std::uint64_t incarnation = 0; ///< of the target
+    MSGPACK_DEFINE(fingerprint, target, incarnation)
+};
+
+/// A process of the control group, as entries and joining members look for it.
+struct FeedMember
+{
+    std::string name;
+    std::string address;
+    bool voter = false;
+    MSGPACK_DEFINE(name, address, voter)
+};
+
+/// Asks for what is newer than the cursor; having it acknowledges all up to the cursor.
+struct FeedPoll
+{
+    std::string subscriber;
+    std::uint64_t subscriberLife = 0; ///< drawn at the subscriber's start
+    bool member = false; ///< of the control group; it also gets renewals
+    std::uint64_t feedLife = 0; ///< of the answer that the cursor is from
+    std::uint64_t cursor = 0;
+    std::uint64_t epoch = 0; ///< of the configuration held
+    std::uint64_t number = 0; ///< of the configuration held; 0 is none
+    std::int64_t waitMs = 0;
+    std::vector<FeedSuspicion> suspicions;
+    MSGPACK_DEFINE(subscriber, subscriberLife, member, feedLife, cursor, epoch, number, waitMs,
+                   suspicions)
+};
+
+struct FeedAnswer
+{
+    std::uint64_t feedLife = 0; ///< drawn at the member's start
+    std::uint64_t cursor = 0;
+    std::vector<FeedItem> items;
+    std::vector<FeedRenewal> renewals;
+    std::vector<FeedSuspicion> suspicions;
+    std::vector<FeedMember> members;
+    std::uint32_t entries = 0; ///< entries that follow this member now
+    std::uint64_t epoch = 0;
+    std::uint64_t number = 0; ///< of the configuration attached; 0 is none
+    std::vector<std::string> names; ///< of the configuration's files
+    std::vector<std::string> contents;
+    MSGPACK_DEFINE(feedLife, cursor, items, renewals, suspicions, members, entries, epoch, number,
+                   names, contents)
+};
+
+} // namespace kumquat
--- a/src/protocol/Headers.cpp
+++ b/src/protocol/Headers.cpp
@@ -41,10 +41,10 @@
     fields.erase(http::field::expect);
 }
 
-std::optional<Milliseconds> readDeadline(const http::fields &fields)
+std::optional<Milliseconds> readDeadline(const http::fields &fields, const std::string &name)
 {
     std::int64_t value = 0;
-    const std::string_view text = valueOf(fields, wire::deadline);
+    const std::string_view text = valueOf(fields, name.c_str());
     if (!absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &value) || value < 0) {
         return std::nullopt;
     }
--- a/src/protocol/Headers.h
+++ b/src/protocol/Headers.h
@@ -13,14 +13,15 @@
 /// Removes the connection's own headers (RFC 9110, 7.6.1); lengths and framing included.
 void removeHopByHop(http::fields &fields);
 
-/// The milliseconds in a `Kumquat-Deadline-Ms` header, when it is well formed.
-std::optional<Milliseconds> readDeadline(const http::fields &fields);
+/// The milliseconds in the header \p name, when it is well formed.
+std::optional<Milliseconds> readDeadline(const http::fields &fields, const std::string &name);
 
 /// A target's report of its own load, from a `Kumquat-Load` header.
 struct LoadReport
 {
-    int inFlight = 0;
+    int inFlight = 0; ///< running and waiting
     int slots = 0;
+    int pacePercent = 100; ///< how long work takes there now; 100 is ordinary
 };
 
 std::optional<LoadReport> readLoadReport(const http::fields &fields);
--- a/src/protocol/RaftMessage.h
+++ b/src/protocol/RaftMessage.h
@@ -18,7 +18,8 @@
     std::string name;
     std::string address;
     bool voter = false; ///< learners receive the log and are not counted
-    MSGPACK_DEFINE(id, name, address, voter)
+    std::string failureDomain;
+    MSGPACK_DEFINE(id, name, address, voter, failureDomain)
 };
 
 enum class EntryType { none, command, membership };
--- a/src/protocol/Settings.cpp
+++ b/src/protocol/Settings.cpp
@@ -62,6 +62,44 @@
     return members;
 }
 
+std::string readDialect(JsonObject &object, JsonProblems &problems)
+{
+    std::string name = object.text("dialect", "kumquat");
+    if (name != "kumquat" && name != "platform") {
+        problems.add(object.pathOf("dialect"), "is '" + name + "'", "write kumquat or platform");
+    }
+    return name;
+}
+
+SharedRetryBudget readRetryBudget(JsonObject &settings, JsonProblems &problems)
+{
+    SharedRetryBudget budget;
+    const Json::Value &value = settings.member("retryBudget");
+    if (value.isNull()) {
+        return budget;
+    }
+    JsonObject object(value, settings.pathOf("retryBudget"), problems);
+    budget.ratio = object.number("ratio", 0, 10, budget.ratio);
+    budget.slack = static_cast<int>(object.integer("slack", 0, 1'000'000, budget.slack));
+    budget.windowMs = static_cast<int>(object.integer("windowMs", 100, 600'000, budget.windowMs));
+    object.finish();
+    return budget;
+}
+
+void readSeeds(JsonObject &object, ControlSettings &settings, JsonProblems &problems)
+{
+    settings.seeds = readAddresses(object, "seeds", problems);
+    settings.firstStart = object.flag("firstStart", false);
+    settings.toleratedLosses
+        = static_cast<int>(object.integer("toleratedLosses", 0, 10, settings.toleratedLosses));
+    settings.heartbeatMs
+        = static_cast<int>(object.integer("heartbeatMs", 10, 600'000, settings.heartbeatMs));
+    settings.clusterKeyFile = object.text("clusterKeyFile", "");
+    if (settings.listenAddress.empty()) {
+        problems.add("/listenAddress", "is missing", "name the address that this member serves");
+    }
+}
+
 template <typename Settings>
 absl::StatusOr<Settings> finished(Settings settings, JsonObject &object,
                                   const JsonProblems &problems)
@@ -87,17 +125,26 @@
     EntrySettings settings;
     settings.name = object.text("name");
     settings.failureDomain = object.text("failureDomain");
+    settings.dialect = readDialect(object, problems);
     settings.callerAddress = readAddress(object, "callerAddress", problems);
     settings.internalAddress = readAddress(object, "internalAddress", problems);
-    settings.gossipAddress = readAddress(object, "gossipAddress", problems);
-    settings.gossipPeers = readAddresses(object, "gossipPeers", problems);
-    settings.controlMembers = readAddresses(object, "controlMembers", problems);
-    settings.clusterKeyFile = object.text("clusterKeyFile");
+    if (object.member("controlSeeds").isNull()) {
+        settings.gossipAddress = readAddress(object, "gossipAddress", problems);
+        settings.gossipPeers = readAddresses(object, "gossipPeers", problems);
+        settings.controlMembers = readAddresses(object, "controlMembers", problems);
+        settings.clusterKeyFile = object.text("clusterKeyFile");
+    } else {
+        settings.controlSeeds = readAddresses(object, "controlSeeds", problems);
+        settings.clusterKeyFile = object.text("clusterKeyFile", "");
+    }
+    settings.retryBudget = readRetryBudget(object, problems);
     settings.threads = static_cast<int>(object.integer("threads", 1, 64, settings.threads));
     settings.maxConnections
         = static_cast<int>(object.integer("maxConnections", 1, 100'000, settings.maxConnections));
     settings.stopGraceMs
         = static_cast<int>(object.integer("stopGraceMs", 0, 60'000, settings.stopGraceMs));
+    settings.stopLimitMs
+        = static_cast<int>(object.integer("stopLimitMs", 0, 3'600'000, settings.stopLimitMs));
     return finished(settings, object, problems);
 }
 
@@ -114,18 +161,24 @@
     settings.name = object.text("name");
     settings.failureDomain = object.text("failureDomain");
     settings.dataFolder = object.text("dataFolder");
+    settings.dialect = readDialect(object, problems);
     if (!object.member("listenAddress").isNull()) {
         settings.listenAddress = readAddress(object, "listenAddress", problems);
     }
-    settings.members = readMembers(object, problems);
-    settings.clusterKeyFile = object.text("clusterKeyFile");
+    const bool seeded = !object.member("seeds").isNull();
+    if (seeded) {
+        readSeeds(object, settings, problems);
+    } else {
+        settings.members = readMembers(object, problems);
+        settings.clusterKeyFile = object.text("clusterKeyFile");
+    }
     settings.maxOnceRecords = static_cast<int>(
         object.integer("maxOnceRecords", 1, 10'000'000, settings.maxOnceRecords));
     settings.onceRetentionSeconds = static_cast<int>(
         object.integer("onceRetentionSeconds", 60, 31'536'000, settings.onceRetentionSeconds));
     settings.snapshotEveryEntries = static_cast<int>(
         object.integer("snapshotEveryEntries", 10, 10'000'000, settings.snapshotEveryEntries));
-    bool listed = false;
+    bool listed = seeded;
     for (const ControlMember &member : settings.members) {
         listed = listed || member.name == settings.name;
     }
@@ -151,6 +204,9 @@
 
 absl::StatusOr<std::string> readClusterKey(const std::string &file)
 {
+    if (file.empty()) {
+        return std::string();
+    }
     const auto text = readFile(file);
     if (!text.ok()) {
         return text.status();
--- a/src/protocol/TargetConnection.cpp
+++ b/src/protocol/TargetConnection.cpp
@@ -88,10 +88,8 @@
             return error;
         }
         if (parser_->get().result_int() >= 200) {
-            // An answer that only the connection's end delimits cannot be told from a cut one.
-            const bool endless
-                = !parser_->is_done() && !parser_->chunked() && !parser_->content_length();
-            return endless ? ErrorCode(http::error::bad_content_length) : error;
+            // An answer that only the connection's end delimits is whole if that end is no reset.
+            return error;
         }
     }
     return http::error::bad_status;
--- a/src/protocol/TargetConnection.h
+++ b/src/protocol/TargetConnection.h
@@ -51,6 +51,7 @@
     const Address &address() const { return address_; }
     TimePoint lastAnswer() const { return lastAnswer_; }
     bool isFresh() const { return exchanges_ <= 1; }
+    bool isUnused() const { return exchanges_ == 0; }
 
 private:
     using Parser = http::response_parser<http::buffer_body>;
--- a/src/protocol/Wire.h
+++ b/src/protocol/Wire.h
@@ -12,6 +12,7 @@
 constexpr char reason[] = "Kumquat-Reason";
 constexpr char load[] = "Kumquat-Load";
 constexpr char shed[] = "Kumquat-Shed";
+constexpr char passedOn[] = "Kumquat-Passed-On";
 
 constexpr char targetsPath[] = "/kumquat/v1/targets/";
 constexpr char readyPath[] = "/kumquat/v1/ready";
@@ -21,5 +22,7 @@
 constexpr char raftPath[] = "/kumquat/v1/raft";
 constexpr char oncePath[] = "/kumquat/v1/once";
 constexpr char configurationPath[] = "/kumquat/v1/configuration";
+constexpr char feedPath[] = "/kumquat/v1/feed";
+constexpr char documentPath[] = "/kumquat/v1/document";
 
 } // namespace kumquat::wire
--- a/src/state/Configuration.cpp
+++ b/src/state/Configuration.cpp
@@ -168,6 +168,8 @@
         return "once";
     case RequestKind::upload:
         return "upload";
+    case RequestKind::single:
+        return "single";
     }
     return "unknown";
 }
--- a/src/state/ConfigurationHistory.cpp
+++ b/src/state/ConfigurationHistory.cpp
@@ -62,6 +62,21 @@
     return result;
 }
 
+ChangeResult ConfigurationHistory::applyDocument(std::uint64_t version, const std::string &text)
+{
+    if (version > documentVersion_) {
+        files_ = { { documentFile, text } };
+        documentVersion_ = version;
+        ++number_;
+    }
+    return { ChangeVerdict::accepted, number_, "" };
+}
+
+std::string ConfigurationHistory::document() const
+{
+    return documentVersion_ == 0 ? "" : files_.front().content;
+}
+
 ChangeResult ConfigurationHistory::decide(const ConfigurationChange &change)
 {
     if (change.base != number_) {
@@ -69,6 +84,11 @@
                  absl::StrCat("version ", number_, " is in force, the change builds on ",
                               change.base, "; remedy: look at what changed, then apply again") };
     }
+    if (documentVersion_ > 0) {
+        return { ChangeVerdict::refused, number_,
+                 absl::StrCat("document version ", documentVersion_,
+                              " is in force; remedy: send a document with a higher version") };
+    }
     std::vector<FileWrite> next = changedFiles(files_, change);
     const absl::Status checked = checkFiles(next);
     if (!checked.ok()) {
--- a/src/state/ConfigurationHistory.h
+++ b/src/state/ConfigurationHistory.h
@@ -50,10 +50,18 @@
     /// The result that \p id had, or null.
     const ChangeResult *find(const std::string &id) const;
 
+    /// Puts a whole document in the place of all files when its version is higher than that of
+    /// the document held; otherwise nothing changes. The text must have been checked.
+    ChangeResult applyDocument(std::uint64_t version, const std::string &text);
+
+    std::uint64_t documentVersion() const { return documentVersion_; }
+    /// The text of the document in force; empty when files are, or nothing.
+    std::string document() const;
+
     std::uint64_t number() const { return number_; }
     const std::vector<FileWrite> &files() const { return files_; }
 
-    MSGPACK_DEFINE(number_, files_, order_, results_)
+    MSGPACK_DEFINE(number_, files_, order_, results_, documentVersion_)
 
 private:
     ChangeResult decide(const ConfigurationChange &change);
@@ -62,8 +70,12 @@
     std::vector<FileWrite> files_; ///< in the order of their names
     std::deque<std::string> order_;
     std::map<std::string, ChangeResult> results_;
+    std::uint64_t documentVersion_ = 0;
 };
 
+/// The name under which a whole document stands among the files; no folder has such a file.
+constexpr char documentFile[] = "@document";
+
 /// The files after \p change.
 std::vector<FileWrite> changedFiles(std::vector<FileWrite> files,
                                     const ConfigurationChange &change);
--- a/src/state/ControlState.cpp
+++ b/src/state/ControlState.cpp
@@ -28,6 +28,10 @@
         result.once = once_.apply(command->once, command->capacity,
                                   std::chrono::milliseconds(command->wallMs));
         break;
+    case CommandType::document:
+        result.change
+            = configuration_.applyDocument(command->document.version, command->document.text);
+        break;
     case CommandType::expire:
         once_.expire(std::chrono::milliseconds(command->wallMs));
         break;
--- a/src/state/ControlState.h
+++ b/src/state/ControlState.h
@@ -10,7 +10,15 @@
 
 namespace kumquat {
 
-enum class CommandType { change, once, expire };
+enum class CommandType { change, once, expire, document };
+
+/// A whole configuration that was checked before it was proposed.
+struct DocumentWrite
+{
+    std::uint64_t version = 0;
+    std::string text;
+    MSGPACK_DEFINE(version, text)
+};
 
 struct ControlCommand
 {
@@ -19,7 +27,8 @@
     std::uint64_t capacity = 0; ///< of once-records, as that leader's settings have it
     ConfigurationChange change;
     OnceRequest once;
-    MSGPACK_DEFINE(type, wallMs, capacity, change, once)
+    DocumentWrite document;
+    MSGPACK_DEFINE(type, wallMs, capacity, change, once, document)
 };
 
 /// One of the two is set, by the type of the command.
