Ask the likeliest targets just before placing a request

Cause: every report is older than the pace that it tells; requests went to targets four times slower. Ruled out: too few targets (a third of the slots was idle). Change: Placement weighs reports by age; up to eight targets (four where a question takes over 6 ms) are asked as the request is placed, within a budget of questions a target and second; a full target gets no second request.

--- /dev/null
+++ b/include/kumquat/Placement.h
@@ -0,0 +1,44 @@
+#pragma once
+/// \file
+/// Decides where a request goes when instances share their machines with others: their pace
+/// changes within fractions of a second, so what is known of a target is weighed by its age.
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace kumquat {
+
+/// A target as one entry knows it at the moment of a decision.
+struct PlacementView
+{
+    std::size_t index = 0; ///< in the service's list of targets
+    int slots = 1;
+    int own = 0; ///< this entry's requests in flight there
+    double foreign = 0; ///< other entries' requests, at the time of the report
+    double pace = 1; ///< how long work takes there, 1 is ordinary, at the time of the report
+    std::chrono::microseconds age { 0 }; ///< of the report
+    bool reported = false;
+    bool cold = false; ///< started a moment ago
+    double errorRate = 0; ///< 0 to 1
+    bool sameDomain = false;
+};
+
+/// How many times its ordinary duration a request would take there, as far as is known.
+/// Answers load that shifts within the time of a request: old reports count for less.
+double expectedSlowness(const PlacementView &view);
+
+/// True when a report young enough to be believed leaves no slot free.
+bool isKnownFull(const PlacementView &view);
+
+/// Positions of the \p count views most worth asking for a fresh report, the best first; those
+/// whose report is fresh anyway are left out. \p random breaks ties.
+std::vector<std::size_t> worthAsking(const std::vector<PlacementView> &views, std::size_t count,
+                                     std::uint64_t random);
+
+/// The position of the view that a request should go to, or views.size() when none has room.
+/// Among views as good as the best, \p random picks, so that entries do not meet at one target.
+std::size_t bestPlace(const std::vector<PlacementView> &views, std::uint64_t random);
+
+} // namespace kumquat
--- a/src/coordination/entry/EntryFeed.cpp
+++ b/src/coordination/entry/EntryFeed.cpp
@@ -15,6 +15,8 @@
 constexpr Milliseconds freezeCheck { 10 };
 /// A budget is shared by entries that each know of the others only roughly.
 constexpr double budgetMargin = 0.7;
+/// Questions a second to one target from all entries together; half of what deployments allow.
+constexpr double questionsPerTarget = 30;
 
 } // namespace
 
@@ -135,6 +137,9 @@
         if (followsFeed()) {
             const SharedRetryBudget &budget = settings_.retryBudget;
             service->runtime->retryBudget.setShare(budget.ratio * budgetMargin);
+            const double targets = static_cast<double>(service->targets.size());
+            const double questions = questionsPerTarget * targets / static_cast<double>(liveEntries());
+            service->runtime->questionBudget.setRate(questions, questions);
             service->runtime->retryBudget.setMost(
                 std::max(1.0, budget.slack * budgetMargin / static_cast<double>(liveEntries())));
         }
--- a/src/coordination/entry/RoutedCall.cpp
+++ b/src/coordination/entry/RoutedCall.cpp
@@ -1,5 +1,6 @@
 #include "coordination/entry/RoutedCall.h"
 
+#include "coordination/entry/Asking.h"
 #include "coordination/entry/RoutedExchange.h"
 #include "kumquat/Event.h"
 #include "protocol/Headers.h"
@@ -17,6 +18,13 @@
 /// Less time than this is not worth a target's work.
 constexpr Milliseconds leastTime { 5 };
 constexpr unsigned firstServerError = 500;
+/// Targets asked for each placement; fewer where a question takes a target long.
+constexpr std::size_t quickQuestions = 8;
+constexpr std::size_t slowQuestions = 4;
+constexpr Microseconds slowQuestion { 6'000 };
+constexpr Milliseconds questionPatience { 15 };
+/// Between two looks for a free slot.
+constexpr Milliseconds placePause { 12 };
 
 /// A status that tells the caller that the request was not run and never will be.
 bool promisesNotRun(unsigned status)
@@ -39,6 +47,8 @@
     {
         return request_.route->configuration.kind == RequestKind::idempotent;
     }
+    std::vector<TargetPtr> targetsWorthAsking(const std::vector<PlacementView> &views);
+    TargetPtr placeByReports(Yield yield);
     TargetPtr place(Yield yield);
     bool waitForPlace(TimePoint until, Yield yield);
     ExchangeResult sendTo(const TargetPtr &target, Yield yield);
@@ -90,6 +100,32 @@
     return woken;
 }
 
+std::vector<TargetPtr> RoutedCall::targetsWorthAsking(const std::vector<PlacementView> &views)
+{
+    const bool slow = runtime_.meanQuestionTime() > slowQuestion;
+    const std::size_t count = slow ? slowQuestions : quickQuestions;
+    std::vector<TargetPtr> targets;
+    for (const std::size_t position : worthAsking(views, count, request_.worker.random())) {
+        targets.push_back(service_.targets[views[position].index]);
+    }
+    return targets;
+}
+
+// Asks the likeliest targets and takes the best of all that is then known.
+TargetPtr RoutedCall::placeByReports(Yield yield)
+{
+    std::vector<PlacementView> views = placementViews(service_, tried_, Clock::now());
+    askForLoad(request_.worker, request_.dialect, service_, targetsWorthAsking(views),
+               questionPatience, yield);
+    views = placementViews(service_, tried_, Clock::now());
+    const std::size_t best = bestPlace(views, request_.worker.random());
+    if (best == views.size()) {
+        return nullptr;
+    }
+    const TargetPtr &target = service_.targets[views[best].index];
+    return target->stats->tryAcquire(target->record.slots) ? target : nullptr;
+}
+
 TargetPtr RoutedCall::place(Yield yield)
 {
     const HostRoute &route = request_.route->configuration;
@@ -97,7 +133,11 @@
     const TimePoint until = std::min(patience, request_.deadline - leastTime);
     while (!departed_) {
         const TimePoint now = Clock::now();
-        TargetPtr target = acquireTarget(service_, tried_, now, request_.worker.random);
+        TargetPtr target = placeByReports(yield);
+        if (target && departed_) {
+            releaseTarget(service_, *target);
+            return nullptr;
+        }
         if (target) {
             return target;
         }
@@ -105,10 +145,11 @@
             reason_ = RefusalReason::noTarget;
             return nullptr;
         }
-        if (now + expectedWait(service_, now) >= until || !waitForPlace(until, yield)) {
+        if (now + placePause >= until) {
             reason_ = RefusalReason::overloaded;
             return nullptr;
         }
+        (void)waitForPlace(now + placePause, yield);
     }
     return nullptr;
 }
@@ -120,7 +161,8 @@
     TargetStats &stats = *target.stats;
     const auto report = request_.dialect.loadReport(result.response);
     if (report) {
-        stats.recordReport(report->inFlight - 1, now);
+        // The report may count this very request, which has just ended.
+        stats.recordLoad(*report, 1, now);
     }
     switch (result.end) {
     case ExchangeEnd::answered: {
--- a/src/coordination/entry/ServiceRuntime.cpp
+++ b/src/coordination/entry/ServiceRuntime.cpp
@@ -105,12 +105,53 @@
     serviceTimeUs_.store(next, std::memory_order_relaxed);
 }
 
+void ServiceRuntime::recordQuestionTime(Clock::duration elapsed)
+{
+    const double sample = toMilliseconds(elapsed) * 1000;
+    const double old = questionTimeUs_.load(std::memory_order_relaxed);
+    const double next = old == 0 ? sample : old + serviceTimeWeight * (sample - old);
+    questionTimeUs_.store(next, std::memory_order_relaxed);
+}
+
+Microseconds ServiceRuntime::meanQuestionTime() const
+{
+    return Microseconds(static_cast<std::int64_t>(questionTimeUs_.load(std::memory_order_relaxed)));
+}
+
 Microseconds ServiceRuntime::meanServiceTime() const
 {
     const double value = serviceTimeUs_.load(std::memory_order_relaxed);
     return Microseconds(static_cast<std::int64_t>(value));
 }
 
+std::vector<PlacementView> placementViews(const ActiveService &service,
+                                          const std::vector<std::string> &tried, TimePoint now)
+{
+    std::vector<PlacementView> views;
+    views.reserve(service.targets.size());
+    for (std::size_t index = 0; index < service.targets.size(); ++index) {
+        const Target &target = *service.targets[index];
+        const TargetStats &stats = *target.stats;
+        if (!isUsable(target, now) || stats.isUnanswered(now)
+            || contains(tried, target.record.name)) {
+            continue;
+        }
+        PlacementView view;
+        view.index = index;
+        view.slots = target.record.slots;
+        view.own = stats.inFlight();
+        view.foreign = stats.reportedForeign();
+        view.pace = stats.reportedPace();
+        view.reported = stats.reportedAt() != TimePoint();
+        view.age = std::chrono::duration_cast<Microseconds>(now - stats.reportedAt());
+        view.cold = now - stats.readySince() < stats.ramp();
+        view.errorRate = stats.errorRate();
+        view.sameDomain = target.record.failureDomain == service.failureDomain;
+        views.push_back(view);
+    }
+    return views;
+}
+
 TargetPtr acquireTarget(const ActiveService &service, const std::vector<std::string> &tried,
                         TimePoint now, Random &random)
 {
--- a/src/coordination/entry/ServiceRuntime.h
+++ b/src/coordination/entry/ServiceRuntime.h
@@ -7,8 +7,10 @@
 #include "common/Random.h"
 #include "coordination/entry/Target.h"
 #include "coordination/policy/RetryBudget.h"
+#include "coordination/policy/TokenBucket.h"
 #include "kumquat/Chooser.h"
 #include "kumquat/Configuration.h"
+#include "kumquat/Placement.h"
 #include "protocol/Refusal.h"
 #include "transport/Asio.h"
 
@@ -27,6 +29,7 @@
     std::atomic<std::uint64_t> hedges { 0 };
     std::atomic<std::uint64_t> sheds { 0 };
     std::atomic<std::uint64_t> departed { 0 };
+    std::atomic<std::uint64_t> questions { 0 };
     std::array<std::atomic<std::uint64_t>, refusalReasonCount> refused {};
 };
 
@@ -58,7 +61,12 @@
     /// Time that a target needs for a request; zero before the first answer.
     Microseconds meanServiceTime() const;
 
+    /// How long targets take to answer a question about their load; zero before the first.
+    void recordQuestionTime(Clock::duration elapsed);
+    Microseconds meanQuestionTime() const;
+
     RetryBudget retryBudget;
+    TokenBucket questionBudget { 0, 0 }; ///< used by one worker
     LatencyRecorder latency; ///< of answered requests, as callers see it
     ServiceCounters counters;
 
@@ -66,12 +74,13 @@
     std::atomic<int> concurrent_ { 0 };
     std::atomic<std::size_t> waitingCount_ { 0 };
     std::atomic<double> serviceTimeUs_ { 0 };
+    std::atomic<double> questionTimeUs_ { 0 };
     std::mutex mutex_;
     std::deque<std::shared_ptr<Waiter>> waiters_;
 };
 
 /// A service with its configuration, chooser and targets; one immutable version of it.
-struct ActiveService
+struct ActiveService : std::enable_shared_from_this<ActiveService>
 {
     Service configuration;
     Chooser chooser;
@@ -86,6 +95,10 @@
     }
 };
 
+/// What is known of the usable targets that are not in \p tried, for a decision on placement.
+std::vector<PlacementView> placementViews(const ActiveService &service,
+                                          const std::vector<std::string> &tried, TimePoint now);
+
 /// Takes a place at the best target that is not in \p tried; null when none has one.
 TargetPtr acquireTarget(const ActiveService &service, const std::vector<std::string> &tried,
                         TimePoint now, Random &random);
--- a/src/coordination/entry/Target.cpp
+++ b/src/coordination/entry/Target.cpp
@@ -11,6 +11,8 @@
 constexpr double errorWeight = 0.1;
 constexpr Milliseconds reportHalfLife { 20 };
 constexpr Milliseconds shedMemory { 3 };
+/// A target that has not answered a question is left alone for this long.
+constexpr Milliseconds unansweredMemory { 300 };
 
 // A lost update between two threads costs one sample of a moving average, so no retry loop.
 void average(std::atomic<double> &value, double sample, double weight)
@@ -73,6 +75,19 @@
     store(reportedAt_, now);
 }
 
+void TargetStats::recordLoad(const LoadReport &report, int ownInside, TimePoint now)
+{
+    recordReport(report.inFlight - ownInside, now);
+    constexpr double percent = 100;
+    pace_.store(report.pacePercent / percent, std::memory_order_relaxed);
+    store(unansweredAt_, TimePoint());
+}
+
+bool TargetStats::isUnanswered(TimePoint now) const
+{
+    return load(unansweredAt_) != TimePoint() && now - load(unansweredAt_) < unansweredMemory;
+}
+
 double TargetStats::foreignLoad(TimePoint now) const
 {
     // The report ages: after 20 ms half of what it said is taken to be done.
--- a/src/coordination/entry/Target.h
+++ b/src/coordination/entry/Target.h
@@ -5,6 +5,7 @@
 
 #include "common/Time.h"
 #include "kumquat/TargetRecord.h"
+#include "protocol/Headers.h"
 #include "transport/Address.h"
 
 #include <atomic>
@@ -35,6 +36,17 @@
     /// Records what the target says of its own load.
     void recordReport(int inFlight, TimePoint now);
 
+    /// Records a whole report; \p ownInside of the requests it counts are this entry's and have
+    /// ended since.
+    void recordLoad(const LoadReport &report, int ownInside, TimePoint now);
+    double reportedPace() const { return pace_.load(std::memory_order_relaxed); }
+    double reportedForeign() const { return foreignAtReport_.load(std::memory_order_relaxed); }
+    TimePoint reportedAt() const { return load(reportedAt_); }
+
+    /// Notes that a question brought no answer; the target is passed over for a moment.
+    void noteUnanswered(TimePoint now) { store(unansweredAt_, now); }
+    bool isUnanswered(TimePoint now) const;
+
     /// Requests that other entries are estimated to have in flight there.
     double foreignLoad(TimePoint now) const;
 
@@ -89,6 +101,8 @@
     std::atomic<std::uint64_t> answers_ { 0 };
     std::atomic<bool> unreachable_ { false };
     std::atomic<Milliseconds::rep> ramp_ { 0 };
+    std::atomic<double> pace_ { 1 };
+    Ticks unansweredAt_ { 0 };
     Ticks reportedAt_ { 0 };
     Ticks lastSuccess_ { 0 };
     Ticks lastShed_ { 0 };
--- /dev/null
+++ b/src/coordination/policy/Placement.cpp
@@ -0,0 +1,118 @@
+#include "kumquat/Placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kumquat {
+
+namespace {
+
+using Microseconds = std::chrono::microseconds;
+
+/// The pace of a target of which nothing recent is known.
+constexpr double unknownPace = 1.6;
+/// How fast a report of pace and of load loses its worth: the time of some requests.
+constexpr Microseconds paceMemory { 300'000 };
+constexpr Microseconds loadMemory { 120'000 };
+/// A share of the slots from which some targets slow down, and by how much.
+constexpr double nearlyFull = 0.8;
+constexpr double nearlyFullSlowdown = 1.6;
+constexpr double coldSlowdown = 2;
+constexpr double errorPenalty = 6;
+/// A nearer target saves the way, which is short beside the work.
+constexpr double nearnessGain = 0.97;
+/// Reports younger than this need no asking.
+constexpr Microseconds freshReport { 4'000 };
+/// Reports older than this prove nothing of free slots.
+constexpr Microseconds believedReport { 60'000 };
+/// Views within this of the best are as good.
+constexpr double asGood = 1.05;
+
+double remaining(Microseconds age, Microseconds memory)
+{
+    return std::exp(-static_cast<double>(age.count()) / static_cast<double>(memory.count()));
+}
+
+double expectedPace(const PlacementView &view)
+{
+    if (!view.reported) {
+        return unknownPace;
+    }
+    const double weight = remaining(view.age, paceMemory);
+    return weight * view.pace + (1 - weight) * unknownPace;
+}
+
+double expectedForeign(const PlacementView &view)
+{
+    return view.reported ? view.foreign * remaining(view.age, loadMemory) : 0;
+}
+
+} // namespace
+
+// Example: 2 slots, one request there, pace 1 -> both slots taken, nearly full -> 1.6; with two
+// there the request would wait for half of one, too -> 2.1.
+double expectedSlowness(const PlacementView &view)
+{
+    const double occupied = view.own + expectedForeign(view) + 1;
+    const double full = occupied >= nearlyFull * view.slots ? nearlyFullSlowdown : 1;
+    const double queued = std::max(0.0, occupied - view.slots) / view.slots;
+    const double warm = view.cold ? coldSlowdown : 1;
+    const double near = view.sameDomain ? nearnessGain : 1;
+    return expectedPace(view) * (full + queued) * warm * near
+        * (1 + errorPenalty * view.errorRate);
+}
+
+bool isKnownFull(const PlacementView &view)
+{
+    const bool believed = view.reported && view.age < believedReport;
+    return view.own >= view.slots || (believed && view.own + view.foreign >= view.slots);
+}
+
+std::vector<std::size_t> worthAsking(const std::vector<PlacementView> &views, std::size_t count,
+                                     std::uint64_t random)
+{
+    struct Ranked
+    {
+        double slowness;
+        std::uint64_t tie;
+        std::size_t position;
+    };
+    std::vector<Ranked> ranked;
+    ranked.reserve(views.size());
+    for (std::size_t i = 0; i < views.size(); ++i) {
+        const bool fresh = views[i].reported && views[i].age < freshReport;
+        if (!fresh && views[i].own < views[i].slots) {
+            // Multiplying by an odd number gives each position a rank of its own.
+            const std::uint64_t tie = (random + i) * 0x9e3779b97f4a7c15U;
+            ranked.push_back({ expectedSlowness(views[i]), tie, i });
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const Ranked &left, const Ranked &right) {
+        return left.slowness != right.slowness ? left.slowness < right.slowness
+                                               : left.tie < right.tie;
+    });
+    std::vector<std::size_t> positions;
+    for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i) {
+        positions.push_back(ranked[i].position);
+    }
+    return positions;
+}
+
+std::size_t bestPlace(const std::vector<PlacementView> &views, std::uint64_t random)
+{
+    double best = std::numeric_limits<double>::max();
+    for (const PlacementView &view : views) {
+        if (!isKnownFull(view)) {
+            best = std::min(best, expectedSlowness(view));
+        }
+    }
+    std::vector<std::size_t> good;
+    for (std::size_t i = 0; i < views.size(); ++i) {
+        if (!isKnownFull(views[i]) && expectedSlowness(views[i]) <= best * asGood) {
+            good.push_back(i);
+        }
+    }
+    return good.empty() ? views.size() : good[random % good.size()];
+}
+
+} // namespace kumquat
