Follow the settings file by its content; SIGHUP ends no process

Change: the signal is ignored; each process compares its settings file once a second and takes new seeds and budgets.

--- a/daemons/Control.cpp
+++ b/daemons/Control.cpp
@@ -16,17 +16,17 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto settings = kumquat::readControlSettings(FLAGS_settings);
     if (!settings.ok()) {
-        return kumquat::failProgram(settings.status());
+        return kumquat::failProgram(settings.status(), kumquat::exitBadSettings);
     }
     const auto key = kumquat::readClusterKey(settings->clusterKeyFile);
     if (!key.ok()) {
-        return kumquat::failProgram(key.status());
+        return kumquat::failProgram(key.status(), kumquat::exitBadSettings);
     }
     if (FLAGS_check) {
         return 0;
     }
     kumquat::startProgram(settings->name);
-    auto control = kumquat::ControlProcessBuilder().settings(*settings).clusterKey(*key).dialect(kumquat::platform::dialectNamed(settings->dialect)).build();
+    auto control = kumquat::ControlProcessBuilder().settings(*settings).settingsFile(FLAGS_settings).clusterKey(*key).dialect(kumquat::platform::dialectNamed(settings->dialect)).build();
     if (!control.ok()) {
         return kumquat::failProgram(control.status());
     }
--- a/daemons/Entry.cpp
+++ b/daemons/Entry.cpp
@@ -16,17 +16,17 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto settings = kumquat::readEntrySettings(FLAGS_settings);
     if (!settings.ok()) {
-        return kumquat::failProgram(settings.status());
+        return kumquat::failProgram(settings.status(), kumquat::exitBadSettings);
     }
     const auto key = kumquat::readClusterKey(settings->clusterKeyFile);
     if (!key.ok()) {
-        return kumquat::failProgram(key.status());
+        return kumquat::failProgram(key.status(), kumquat::exitBadSettings);
     }
     if (FLAGS_check) {
         return 0;
     }
     kumquat::startProgram(settings->name);
-    auto entry = kumquat::EntryProcessBuilder().settings(*settings).clusterKey(*key).dialect(kumquat::platform::dialectNamed(settings->dialect)).build();
+    auto entry = kumquat::EntryProcessBuilder().settings(*settings).settingsFile(FLAGS_settings).clusterKey(*key).dialect(kumquat::platform::dialectNamed(settings->dialect)).build();
     if (!entry.ok()) {
         return kumquat::failProgram(entry.status());
     }
--- a/include/kumquat/ControlProcess.h
+++ b/include/kumquat/ControlProcess.h
@@ -27,6 +27,8 @@
 {
 public:
     ControlProcessBuilder &settings(ControlSettings settings);
+    /// The file to follow for changes of the seeds; none unless named.
+    ControlProcessBuilder &settingsFile(std::string file);
     ControlProcessBuilder &clusterKey(std::string key);
     /// The names on the wire; the product's own unless said otherwise. It must outlive the process.
     ControlProcessBuilder &dialect(const Dialect &dialect);
@@ -37,6 +39,7 @@
 private:
     ControlSettings settings_;
     std::string key_;
+    std::string file_;
     const Dialect *dialect_ = nullptr;
 };
 
--- a/include/kumquat/EntryProcess.h
+++ b/include/kumquat/EntryProcess.h
@@ -27,6 +27,8 @@
 {
 public:
     EntryProcessBuilder &settings(EntrySettings settings);
+    /// The file to follow for changes of the seeds; none unless named.
+    EntryProcessBuilder &settingsFile(std::string file);
     EntryProcessBuilder &clusterKey(std::string key);
     /// The names on the wire; the product's own unless said otherwise. It must outlive the process.
     EntryProcessBuilder &dialect(const Dialect &dialect);
@@ -37,6 +39,7 @@
 private:
     EntrySettings settings_;
     std::string key_;
+    std::string file_;
     const Dialect *dialect_ = nullptr;
 };
 
--- a/include/kumquat/Event.h
+++ b/include/kumquat/Event.h
@@ -21,6 +21,7 @@
     documentTaken = 205,
     documentRefused = 206,
     settingsReloaded = 207,
+    settingsRefused = 208,
     targetAnnounced = 300,
     targetDraining = 301,
     targetGone = 302,
--- a/src/common/Program.cpp
+++ b/src/common/Program.cpp
@@ -37,6 +37,8 @@
 {
     keepFreedMemory();
     std::signal(SIGPIPE, SIG_IGN);
+    // A change of the settings file is noticed by its content, with this signal or without.
+    std::signal(SIGHUP, SIG_IGN);
     const sigset_t signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     startLogging(name);
@@ -52,11 +54,11 @@
     }).detach();
 }
 
-int failProgram(const absl::Status &status)
+int failProgram(const absl::Status &status, int exitCode)
 {
     std::fprintf(stderr, "%s\n", std::string(status.message()).c_str());
     stopLogging();
-    return 1;
+    return exitCode;
 }
 
 } // namespace kumquat
--- a/src/common/Program.h
+++ b/src/common/Program.h
@@ -15,10 +15,14 @@
 /// Lets the process keep memory that it frees, up to a bound.
 void keepFreedMemory();
 
-/// Ignores SIGPIPE, blocks the stop signals for all threads started later, starts the log.
+/// Ignores SIGPIPE and SIGHUP, blocks the stop signals for all threads started later, starts the log.
 void startProgram(const std::string &name);
 
+/// The exit codes of a program that cannot start.
+constexpr int exitFailed = 1;
+constexpr int exitBadSettings = 2;
+
 /// Prints \p status to standard error; returns the exit code that main() should return.
-int failProgram(const absl::Status &status);
+int failProgram(const absl::Status &status, int exitCode = exitFailed);
 
 } // namespace kumquat
--- a/src/coordination/control/ControlDocuments.cpp
+++ b/src/coordination/control/ControlDocuments.cpp
@@ -13,6 +13,8 @@
 /// An operator moves on to another member after a second without an answer.
 constexpr Milliseconds documentTime { 1'500 };
 constexpr Milliseconds passOnTime { 1'500 };
+/// Between two looks at the settings file.
+constexpr Milliseconds watchInterval { 1'000 };
 
 HttpResponse errorAnswer(http::status status, const absl::Status &error)
 {
@@ -55,6 +57,27 @@
     feed_->setSeeds(settings_.seeds);
 }
 
+void ControlServer::reloadSettings()
+{
+    if (Clock::now() - watchedAt_ < watchInterval) {
+        return;
+    }
+    watchedAt_ = Clock::now();
+    const auto text = settingsWatch_.changed();
+    if (!text) {
+        return;
+    }
+    const auto settings = parseControlSettings("settings", *text);
+    if (!settings.ok()) {
+        logEvent(Event::settingsRefused, LogLevel::error, "{}",
+                 std::string(settings.status().message()));
+        return;
+    }
+    settings_.seeds = settings->seeds;
+    feed_->setSeeds(settings_.seeds);
+    logEvent(Event::settingsReloaded, LogLevel::info, "seeds={}", settings_.seeds.size());
+}
+
 std::vector<FeedMember> ControlServer::members() const
 {
     std::vector<FeedMember> list;
--- a/src/coordination/control/ControlProcess.cpp
+++ b/src/coordination/control/ControlProcess.cpp
@@ -10,8 +10,9 @@
 class Control : public ControlProcess
 {
 public:
-    Control(const ControlSettings &settings, const std::string &key, const Dialect &dialect)
-        : name_(settings.name), server_(settings, key, dialect)
+    Control(const ControlSettings &settings, const std::string &file, const std::string &key,
+            const Dialect &dialect)
+        : name_(settings.name), server_(settings, file, key, dialect)
     {
     }
 
@@ -43,6 +44,12 @@
     return *this;
 }
 
+ControlProcessBuilder &ControlProcessBuilder::settingsFile(std::string file)
+{
+    file_ = std::move(file);
+    return *this;
+}
+
 ControlProcessBuilder &ControlProcessBuilder::clusterKey(std::string key)
 {
     key_ = std::move(key);
@@ -57,7 +64,7 @@
 
 absl::StatusOr<std::unique_ptr<ControlProcess>> ControlProcessBuilder::build()
 {
-    auto control = std::make_unique<Control>(settings_, key_, dialect_ == nullptr ? productDialect() : *dialect_);
+    auto control = std::make_unique<Control>(settings_, file_, key_, dialect_ == nullptr ? productDialect() : *dialect_);
     const absl::Status opened = control->open();
     if (!opened.ok()) {
         return opened;
--- a/src/coordination/control/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -30,9 +30,10 @@
 
 } // namespace
 
-ControlServer::ControlServer(ControlSettings settings, const std::string &key,
+ControlServer::ControlServer(ControlSettings settings, const std::string &settingsFile,
+                             const std::string &key,
                              const Dialect &dialect)
-    : settings_(std::move(settings)),
+    : settings_(std::move(settings)), settingsWatch_(settingsFile),
       authenticator_(key.empty() ? nullptr : std::make_shared<Authenticator>(key)),
       dialect_(dialect), leaderClient_(loop_, authenticator_)
 {
@@ -143,6 +144,7 @@
         if (registry_) {
             registry_->tick();
             node_->setPeers(feed_->addresses());
+            reloadSettings();
         }
     }
 }
--- a/src/coordination/control/ControlServer.h
+++ b/src/coordination/control/ControlServer.h
@@ -3,6 +3,7 @@
 /// Joins a group node to the outside: peers, entries and operators over one internal port.
 /// One event loop runs the node; a second thread writes to the disk, a third serves operators.
 
+#include "common/FileWatch.h"
 #include "coordination/consensus/GroupNode.h"
 #include "coordination/consensus/PeerLinks.h"
 #include "coordination/control/TargetRegistry.h"
@@ -18,7 +19,8 @@
 class ControlServer
 {
 public:
-    ControlServer(ControlSettings settings, const std::string &key, const Dialect &dialect);
+    ControlServer(ControlSettings settings, const std::string &settingsFile,
+                  const std::string &key, const Dialect &dialect);
 
     absl::Status open();
     /// Runs the event loop until stop().
@@ -45,6 +47,7 @@
 
     // Whole documents and what is learned from seeds.
     void openFeed();
+    void reloadSettings();
     HttpResponse takeDocument(const HttpRequest &request, Yield yield);
     HttpResponse putDocument(const HttpRequest &request, Yield yield);
     HttpResponse readDocument(Yield yield);
@@ -73,6 +76,8 @@
     std::string metrics() const;
 
     ControlSettings settings_;
+    FileWatch settingsWatch_;
+    TimePoint watchedAt_;
     Address address_;
     asio::io_context loop_ { 1 };
     asio::io_context diskLoop_ { 1 };
--- a/src/coordination/entry/EntryCoordinator.cpp
+++ b/src/coordination/entry/EntryCoordinator.cpp
@@ -60,9 +60,11 @@
 } // namespace
 
 EntryCoordinator::EntryCoordinator(EntryCore &core, EntrySettings settings,
+                                   const std::string &settingsFile,
                                    std::shared_ptr<Authenticator> authenticator,
                                    std::shared_ptr<std::atomic<std::size_t>> leader)
-    : core_(core), settings_(std::move(settings)), authenticator_(std::move(authenticator)),
+    : core_(core), settings_(std::move(settings)), settingsWatch_(settingsFile),
+      authenticator_(std::move(authenticator)),
       datagrams_(loop_, authenticator_), probeClient_(loop_, nullptr),
       control_(loop_, authenticator_, parsed(settings_.controlMembers), std::move(leader)),
       probeBudget_(configuration_.probesPerSecond, probeBurst)
@@ -102,7 +104,8 @@
     core_.hooks.suspectRequest = [this](std::uint64_t fingerprint, const std::string &target) {
         asio::post(loop_, [this, suspicion = RequestSuspicion { fingerprint, target }] {
             if (followsFeed()) {
-                unsentSuspicions_.push_back({ suspicion.fingerprint, suspicion.target, 0 });
+                suspicions_.push_back(
+                    { { suspicion.fingerprint, suspicion.target, 0 }, Clock::now() });
                 return;
             }
             gossip_->spreadSuspicion(suspicion);
@@ -268,7 +271,9 @@
         }
         judgeTargets(now);
         if (tick % ticksPerLeaseCheck == 0) {
-            if (!followsFeed()) {
+            if (followsFeed()) {
+                reloadSettings();
+            } else {
                 judgeLeases(now);
             }
             membership_.forgetGone(now);
--- a/src/coordination/entry/EntryCoordinator.h
+++ b/src/coordination/entry/EntryCoordinator.h
@@ -3,6 +3,7 @@
 /// Defines the coordination thread of an entry: announcements, gossip, configuration, probes.
 /// It alone changes the membership and publishes routing tables.
 
+#include "common/FileWatch.h"
 #include "coordination/control/ControlClient.h"
 #include "coordination/entry/EntryCore.h"
 #include "coordination/membership/ControlFeed.h"
@@ -19,7 +20,7 @@
 class EntryCoordinator
 {
 public:
-    EntryCoordinator(EntryCore &core, EntrySettings settings,
+    EntryCoordinator(EntryCore &core, EntrySettings settings, const std::string &settingsFile,
                      std::shared_ptr<Authenticator> authenticator,
                      std::shared_ptr<std::atomic<std::size_t>> leader);
 
@@ -30,6 +31,12 @@
     asio::io_context &loop() { return loop_; }
 
 private:
+    struct HeldSuspicion
+    {
+        FeedSuspicion suspicion;
+        TimePoint since;
+    };
+
     /// What the responsible entry keeps of a target's lease.
     struct Lease
     {
@@ -76,6 +83,7 @@
 
     EntryCore &core_;
     EntrySettings settings_;
+    FileWatch settingsWatch_;
     asio::io_context loop_ { 1 };
     std::shared_ptr<Authenticator> authenticator_;
     std::shared_ptr<HttpServer> server_;
@@ -86,7 +94,7 @@
     std::unique_ptr<Gossip> gossip_;
     std::unique_ptr<ControlFeed> feed_; ///< null when targets announce themselves here
     std::map<std::string, std::set<std::string>> silentAt_; ///< targets, by member
-    std::vector<FeedSuspicion> unsentSuspicions_;
+    std::deque<HeldSuspicion> suspicions_; ///< of this entry, to be told to the members
     std::map<std::string, std::uint32_t> entriesAt_; ///< entries that follow each member
     std::map<std::string, std::shared_ptr<RouteRuntime>> routeRuntimes_;
     OutlierEjection ejection_;
--- a/src/coordination/entry/EntryFeed.cpp
+++ b/src/coordination/entry/EntryFeed.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/// Longer than a member may hold a call open.
+constexpr Milliseconds tellSuspicionFor { 3'000 };
 /// How often a woken entry looks whether the group has answered it.
 constexpr Milliseconds freezeCheck { 10 };
 /// A budget is shared by entries that each know of the others only roughly.
@@ -38,7 +40,14 @@
 {
     poll.epoch = version_.epoch;
     poll.number = version_.number;
-    poll.suspicions = unsentSuspicions_;
+    // Each is told to every member, which knows it from the first time; after that it is dropped.
+    const TimePoint now = Clock::now();
+    while (!suspicions_.empty() && now - suspicions_.front().since > tellSuspicionFor) {
+        suspicions_.pop_front();
+    }
+    for (const HeldSuspicion &held : suspicions_) {
+        poll.suspicions.push_back(held.suspicion);
+    }
 }
 
 void EntryCoordinator::noteReachability(const std::string &member, bool reachable)
@@ -56,7 +65,6 @@
 {
     const std::size_t entriesBefore = liveEntries();
     entriesAt_[member] = answer.entries;
-    unsentSuspicions_.clear();
     for (const FeedSuspicion &suspicion : answer.suspicions) {
         suspectRequest({ suspicion.fingerprint, suspicion.target });
     }
@@ -128,6 +136,26 @@
     });
 }
 
+// Addresses and names are of the process and stay; where the group is found may change.
+void EntryCoordinator::reloadSettings()
+{
+    const auto text = settingsWatch_.changed();
+    if (!text) {
+        return;
+    }
+    const auto settings = parseEntrySettings("settings", *text);
+    if (!settings.ok()) {
+        logEvent(Event::settingsRefused, LogLevel::error, "{}",
+                 std::string(settings.status().message()));
+        return;
+    }
+    settings_.controlSeeds = settings->controlSeeds;
+    settings_.retryBudget = settings->retryBudget;
+    feed_->setSeeds(settings_.controlSeeds);
+    logEvent(Event::settingsReloaded, LogLevel::info, "seeds={}", settings_.controlSeeds.size());
+    publishNow();
+}
+
 void EntryCoordinator::publishHostRoutes(RoutingTable &table)
 {
     table.callerLimits = configuration_.callerLimits;
