Recover soon after everything has lost power

Cause: after the final fault entries refused for 1 to 2 s more than they had to: elections waited 0.6 to 1.2 s and targets were unknown until their next heartbeat; dials to instances still down hung for the whole call. Ruled out: placement (the windows before and after are served). Change: a first election 60 to 360 ms after a start (others refuse while a leader lives), a file of targets that hints after a restart, 300 ms for a dial; suspicions no longer wake all followers.

--- a/include/kumquat/Event.h
+++ b/include/kumquat/Event.h
@@ -30,6 +30,7 @@
     targetSilent = 305,
     announcementRefused = 306,
     departureUnspread = 307,
+    hintsUnreadable = 308,
     peerUp = 310,
     peerDown = 311,
     requestQuarantined = 320,
--- a/src/coordination/consensus/Raft.cpp
+++ b/src/coordination/consensus/Raft.cpp
@@ -19,7 +19,7 @@
     commit_ = log_.snapshot().index;
     applied_ = commit_;
     stored_ = log_.lastIndex();
-    resetElectionTimer(now);
+    electionAt_ = drawElection(options_.firstElectionLow, options_.firstElectionHigh, now);
 }
 
 absl::Status Raft::form(std::uint64_t epoch, TimePoint now)
@@ -102,10 +102,13 @@
 
 void Raft::resetElectionTimer(TimePoint now)
 {
-    const auto spread
-        = static_cast<std::size_t>((options_.electionHigh - options_.electionLow).count());
-    electionAt_ = now + options_.electionLow
-        + Milliseconds(static_cast<std::int64_t>(randomBelow(random_, spread + 1)));
+    electionAt_ = drawElection(options_.electionLow, options_.electionHigh, now);
+}
+
+TimePoint Raft::drawElection(Milliseconds low, Milliseconds high, TimePoint now)
+{
+    const auto spread = static_cast<std::size_t>((high - low).count());
+    return now + low + Milliseconds(static_cast<std::int64_t>(randomBelow(random_, spread + 1)));
 }
 
 void Raft::append(LogEntry entry)
@@ -233,6 +236,11 @@
     if (!leads()) {
         if (now >= electionAt_) {
             campaign(true, now);
+            // While nobody has been heard since the start, the group may all be starting.
+            if (leaderHeardAt_ == TimePoint() && role_ == RaftRole::preCandidate) {
+                electionAt_
+                    = drawElection(options_.firstElectionLow, options_.firstElectionHigh, now);
+            }
         }
         return;
     }
--- a/src/coordination/consensus/Raft.h
+++ b/src/coordination/consensus/Raft.h
@@ -27,6 +27,9 @@
     Milliseconds heartbeat { 100 };
     Milliseconds electionLow { 600 };
     Milliseconds electionHigh { 1'200 };
+    /// After a start: nobody is asked to give up a leader, since others refuse while theirs lives.
+    Milliseconds firstElectionLow { 60 };
+    Milliseconds firstElectionHigh { 360 };
     std::size_t maxAppendBytes = 512 * 1024;
     std::uint64_t seed = 0;
     std::size_t voterGoal = 0; ///< members beyond it stay learners; 0: every member votes
@@ -120,6 +123,7 @@
     void becomeLeader(TimePoint now);
     void campaign(bool preVote, TimePoint now);
     void resetElectionTimer(TimePoint now);
+    TimePoint drawElection(Milliseconds low, Milliseconds high, TimePoint now);
     void failReads();
 
     void receiveVote(const RaftMessage &message, TimePoint now);
--- a/src/coordination/control/ControlDocuments.cpp
+++ b/src/coordination/control/ControlDocuments.cpp
@@ -13,6 +13,9 @@
 /// An operator moves on to another member after a second without an answer.
 constexpr Milliseconds documentTime { 1'500 };
 constexpr Milliseconds passOnTime { 1'500 };
+constexpr char hintFile[] = "targets";
+/// Targets change seldom; a file of them is written at most this often.
+constexpr Milliseconds hintInterval { 1'000 };
 /// Between two looks at the settings file.
 constexpr Milliseconds watchInterval { 1'000 };
 
@@ -78,6 +81,34 @@
     logEvent(Event::settingsReloaded, LogLevel::info, "seeds={}", settings_.seeds.size());
 }
 
+void ControlServer::openHints()
+{
+    const auto bytes = disk_.read(hintFile);
+    if (bytes) {
+        registry_->takeHints(*bytes);
+    }
+}
+
+// After a loss of power the targets' next heartbeats take a while; the file bridges it. It lasts
+// only as hints do: what it says of a target that has changed since is corrected by the target.
+void ControlServer::writeHints()
+{
+    const TimePoint now = Clock::now();
+    const std::uint64_t cursor = registry_->feed().cursor();
+    if (cursor == hintedCursor_ || now - hintedAt_ < hintInterval) {
+        return;
+    }
+    hintedCursor_ = cursor;
+    hintedAt_ = now;
+    asio::post(diskLoop_, [this, bytes = registry_->saveHints()] {
+        const absl::Status written = disk_.replace(hintFile, bytes);
+        if (!written.ok()) {
+            logEvent(Event::hintsUnreadable, LogLevel::warning, "not written: {}",
+                     std::string(written.message()));
+        }
+    });
+}
+
 std::vector<FeedMember> ControlServer::members() const
 {
     std::vector<FeedMember> list;
--- a/src/coordination/control/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -101,11 +101,13 @@
     Disk disk;
     absl::Status status = openFolder(settings_.dataFolder, disk);
     if (status.ok()) {
+        disk_ = disk;
         node_ = std::make_unique<GroupNode>(std::move(options), std::move(disk), std::move(hooks));
         status = node_->start();
     }
     if (status.ok() && !settings_.seeds.empty()) {
         openFeed();
+        openHints();
     }
     return status.ok() ? server_->listen(address_) : status;
 }
@@ -145,6 +147,7 @@
             registry_->tick();
             node_->setPeers(feed_->addresses());
             reloadSettings();
+            writeHints();
         }
     }
 }
--- a/src/coordination/control/ControlServer.h
+++ b/src/coordination/control/ControlServer.h
@@ -48,6 +48,8 @@
     // Whole documents and what is learned from seeds.
     void openFeed();
     void reloadSettings();
+    void openHints();
+    void writeHints();
     HttpResponse takeDocument(const HttpRequest &request, Yield yield);
     HttpResponse putDocument(const HttpRequest &request, Yield yield);
     HttpResponse readDocument(Yield yield);
@@ -78,6 +80,9 @@
     ControlSettings settings_;
     FileWatch settingsWatch_;
     TimePoint watchedAt_;
+    TimePoint hintedAt_;
+    std::uint64_t hintedCursor_ = 0;
+    Disk disk_;
     Address address_;
     asio::io_context loop_ { 1 };
     asio::io_context diskLoop_ { 1 };
--- a/src/coordination/control/TargetRegistry.cpp
+++ b/src/coordination/control/TargetRegistry.cpp
@@ -145,12 +145,9 @@
     if (!poll.ok()) {
         return errorAnswer(http::status::bad_request, poll.status());
     }
-    bool news = false;
+    // Suspicions come in numbers when targets fail; they travel with the next answers.
     for (const FeedSuspicion &suspicion : poll->suspicions) {
-        news = feed_.suspect(suspicion) || news;
-    }
-    if (news) {
-        wake();
+        (void)feed_.suspect(suspicion);
     }
     const std::uint64_t known = noteFollower(*poll).acknowledged;
     waitForNews(*poll, known, yield);
@@ -203,7 +200,7 @@
         feed_.renew(renewal, now);
     }
     for (const FeedSuspicion &suspicion : answer.suspicions) {
-        news = feed_.suspect(suspicion) || news;
+        (void)feed_.suspect(suspicion);
     }
     if (news) {
         wake();
@@ -229,4 +226,23 @@
     }
 }
 
+std::string TargetRegistry::saveHints() const
+{
+    return pack(feed_.itemsAfter(0));
+}
+
+void TargetRegistry::takeHints(const std::string &bytes)
+{
+    const auto items = unpack<std::vector<FeedItem>>(bytes);
+    if (!items.ok()) {
+        logEvent(Event::hintsUnreadable, LogLevel::warning, "{}",
+                 std::string(items.status().message()));
+        return;
+    }
+    const TimePoint now = Clock::now();
+    for (const FeedItem &item : *items) {
+        (void)feed_.take(item.record, now);
+    }
+}
+
 } // namespace kumquat
--- a/src/coordination/control/TargetRegistry.h
+++ b/src/coordination/control/TargetRegistry.h
@@ -43,6 +43,11 @@
     /// Lets waiting calls look again, as after a change of the configuration.
     void wake();
 
+    /// The targets as they are now, for a file that only hints at them after a restart.
+    std::string saveHints() const;
+    /// Takes the targets of such a file; what targets say themselves goes before it.
+    void takeHints(const std::string &bytes);
+
     const TargetFeed &feed() const { return feed_; }
     std::size_t followers() const { return followers_.size(); }
 
--- a/src/coordination/membership/ControlFeed.cpp
+++ b/src/coordination/membership/ControlFeed.cpp
@@ -12,7 +12,7 @@
 constexpr Milliseconds pollWait { 800 };
 /// Beyond the wait, for the way there and back.
 constexpr Milliseconds pollGrace { 500 };
-constexpr Milliseconds retryPause { 150 };
+constexpr Milliseconds retryPause { 60 };
 /// A member that no answer names any more is left alone after this.
 constexpr Milliseconds forgetAfter { 20'000 };
 
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -8,6 +8,8 @@
 
 // An idle connection may be dead without a sign, so only a recently used one is trusted.
 constexpr Milliseconds maxIdleTime { 1'000 };
+/// An instance that is down answers nothing; another try soon finds it back.
+constexpr Milliseconds dialTime { 300 };
 
 } // namespace
 
@@ -77,7 +79,7 @@
     ErrorCode error;
     if (!connection) {
         connection = std::make_unique<Connection>(context_);
-        connection->stream.expires_at(deadline);
+        connection->stream.expires_at(std::min(deadline, Clock::now() + dialTime));
         connection->stream.async_connect(address.tcp(), yield[error]);
         if (!error) {
             connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
