--- a/src/coordination/entry/RoutedCall.cpp
+++ b/src/coordination/entry/RoutedCall.cpp
@@ -25,6 +25,12 @@
 constexpr Milliseconds questionPatience { 15 };
 /// Between two looks for a free slot.
 constexpr Milliseconds placePause { 12 };
+/// When a repeatable request is looked after, in parts of its latency objective.
+constexpr double firstLook = 0.45;
+constexpr double lookStep = 0.15;
+/// A target this slow is left for another that is not.
+constexpr double slowPace = 1.8;
+constexpr double quickEnough = 1.7;
 
 /// A status that tells the caller that the request was not run and never will be.
 bool promisesNotRun(unsigned status)
@@ -32,73 +38,81 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/// A sending with its end, once it has one.
+struct RacingSending
+{
+    Sending sending;
+    TimePoint start;
+    bool ended = false;
+    bool taken = false;
+    ExchangeResult result;
+};
+
+/// The sendings of one request; shared, since a cancelled one ends after the request does.
+struct Race
+{
+    explicit Race(asio::io_context &loop) : signal(loop) { }
+    Timer signal;
+    std::vector<std::shared_ptr<RacingSending>> sendings;
+    bool departed = false;
+};
+
 class RoutedCall
 {
 public:
     explicit RoutedCall(RoutedRequest &request)
-        : request_(request), service_(*request.service), runtime_(*request.service->runtime)
+        : request_(request), route_(request.route->configuration), service_(*request.service),
+          runtime_(*request.service->runtime),
+          race_(std::make_shared<Race>(request.worker.loop))
     {
     }
 
     void run(Yield yield);
 
 private:
-    bool repeatable() const
-    {
-        return request_.route->configuration.kind == RequestKind::idempotent;
-    }
+    bool repeatable() const { return route_.kind == RequestKind::idempotent; }
+
+    // Placement.
     std::vector<TargetPtr> targetsWorthAsking(const std::vector<PlacementView> &views);
     TargetPtr placeByReports(Yield yield);
     TargetPtr place(Yield yield);
-    bool waitForPlace(TimePoint until, Yield yield);
-    ExchangeResult sendTo(const TargetPtr &target, Yield yield);
+    void waitForPlace(TimePoint until, Yield yield);
+
+    // Sending.
+    void start(const TargetPtr &target);
+    bool startNext(Yield yield);
+    bool anyRunning() const;
+    std::shared_ptr<RacingSending> takeEnded();
     void observe(const Target &target, const ExchangeResult &result, Clock::duration elapsed);
-    bool maySendAgain(const ExchangeResult &result);
+    bool maySendAgain(ExchangeEnd end);
+    bool takeResult(RacingSending &ended, Yield yield);
+
+    // Looking after a sending that takes long.
+    void planNextLook();
+    void lookAfter(Yield yield);
+    bool isStuck(const Target &target) const;
+
+    void waitForEvent(Yield yield);
     void answer(HttpResponse response, Yield yield);
     void refuseWith(RefusalReason reason, Yield yield);
     void giveUp(Yield yield);
-    void depart();
+    void finish();
 
     RoutedRequest &request_;
+    const HostRoute &route_;
     const ActiveService &service_;
     ServiceRuntime &runtime_;
+    std::shared_ptr<Race> race_;
     std::vector<std::string> tried_;
-    std::shared_ptr<Waiter> waiter_;
-    AttemptHandle handle_;
     std::optional<HttpResponse> lastFailure_;
     RefusalReason reason_ = RefusalReason::retriesExhausted;
+    TimePoint lookAt_ = TimePoint::max();
     int sendings_ = 0;
     int runs_ = 0; ///< sendings that may have run
-    bool departed_ = false;
+    bool answered_ = false;
 };
 
-void RoutedCall::depart()
-{
-    departed_ = true;
-    handle_.cancel();
-    if (waiter_) {
-        waiter_->timer.cancel();
-    }
-}
-
-bool RoutedCall::waitForPlace(TimePoint until, Yield yield)
-{
-    waiter_ = std::make_shared<Waiter>(request_.worker.loop);
-    const auto limit = static_cast<std::size_t>(service_.configuration.limits.queue);
-    if (!runtime_.tryWait(waiter_, limit)) {
-        waiter_.reset();
-        return false;
-    }
-    ErrorCode ignored;
-    waiter_->timer.expires_at(until);
-    if (!waiter_->woken) {
-        waiter_->timer.async_wait(yield[ignored]);
-    }
-    const bool woken = waiter_->woken;
-    runtime_.cancelWait(waiter_);
-    waiter_.reset();
-    return woken;
-}
+// Placement.
 
 std::vector<TargetPtr> RoutedCall::targetsWorthAsking(const std::vector<PlacementView> &views)
 {
@@ -126,21 +140,27 @@
     return target->stats->tryAcquire(target->record.slots) ? target : nullptr;
 }
 
+void RoutedCall::waitForPlace(TimePoint until, Yield yield)
+{
+    ErrorCode ignored;
+    race_->signal.expires_at(until);
+    race_->signal.async_wait(yield[ignored]);
+}
+
 TargetPtr RoutedCall::place(Yield yield)
 {
-    const HostRoute &route = request_.route->configuration;
-    const TimePoint patience = Clock::now() + route.latencyObjective / objectiveParts;
+    const TimePoint patience = Clock::now() + route_.latencyObjective / objectiveParts;
     const TimePoint until = std::min(patience, request_.deadline - leastTime);
-    while (!departed_) {
-        const TimePoint now = Clock::now();
+    while (!race_->departed) {
         TargetPtr target = placeByReports(yield);
-        if (target && departed_) {
+        if (target && race_->departed) {
             releaseTarget(service_, *target);
             return nullptr;
         }
         if (target) {
             return target;
         }
+        const TimePoint now = Clock::now();
         if (usableTargets(service_, now) <= tried_.size()) {
             reason_ = RefusalReason::noTarget;
             return nullptr;
@@ -149,7 +169,54 @@
             reason_ = RefusalReason::overloaded;
             return nullptr;
         }
-        (void)waitForPlace(now + placePause, yield);
+        waitForPlace(now + placePause, yield);
+    }
+    return nullptr;
+}
+
+// Sending.
+
+void RoutedCall::start(const TargetPtr &target)
+{
+    tried_.push_back(target->record.name);
+    ++sendings_;
+    Sending sending { request_.worker,   request_.dialect,  target,       request_.request,
+                      request_.sendingId, request_.deadline, repeatable(), {} };
+    const auto racing = std::make_shared<RacingSending>(
+        RacingSending { std::move(sending), Clock::now(), false, false, {} });
+    race_->sendings.push_back(racing);
+    planNextLook();
+    spawnOn(request_.worker.loop, [racing, race = race_, service = request_.service](Yield yield) {
+        racing->result = exchange(racing->sending, yield);
+        racing->ended = true;
+        releaseTarget(*service, *racing->sending.target);
+        race->signal.cancel();
+    });
+}
+
+bool RoutedCall::startNext(Yield yield)
+{
+    const TargetPtr target = place(yield);
+    if (!target) {
+        return false;
+    }
+    start(target);
+    return true;
+}
+
+bool RoutedCall::anyRunning() const
+{
+    return std::any_of(race_->sendings.begin(), race_->sendings.end(),
+                       [](const auto &racing) { return !racing->ended; });
+}
+
+std::shared_ptr<RacingSending> RoutedCall::takeEnded()
+{
+    for (const auto &racing : race_->sendings) {
+        if (racing->ended && !racing->taken) {
+            racing->taken = true;
+            return racing;
+        }
     }
     return nullptr;
 }
@@ -179,63 +246,141 @@
         stats.recordShed(now);
         break;
     case ExchangeEnd::broken:
+        stats.recordBroken(now);
+        if (result.reset && target.record.state == TargetState::ready) {
+            request_.worker.hooks.suspectRequest(request_.fingerprint, target.record.name);
+        }
+        break;
     case ExchangeEnd::notSent:
         stats.recordBroken(now);
+        stats.noteUnanswered(now);
         break;
     case ExchangeEnd::late:
         break;
     }
 }
 
-ExchangeResult RoutedCall::sendTo(const TargetPtr &target, Yield yield)
-{
-    const TimePoint start = Clock::now();
-    tried_.push_back(target->record.name);
-    ++sendings_;
-    handle_ = AttemptHandle();
-    ExchangeResult result = exchangeWith(request_, *target, handle_, yield);
-    handle_.connection = nullptr;
-    releaseTarget(service_, *target);
-    if (!departed_) {
-        observe(*target, result, Clock::now() - start);
-    }
-    runs_ += provesNotRun(result.end) ? 0 : 1;
-    if (result.end == ExchangeEnd::broken && result.reset && !departed_
-        && target->record.state == TargetState::ready) {
-        request_.worker.hooks.suspectRequest(request_.fingerprint, target->record.name);
-    }
-    return result;
-}
-
 // What was not run may always go to another target. What may have run goes on only if it may be
 // repeated, and while the route's attempts last. All but what was never sent costs the budget.
-bool RoutedCall::maySendAgain(const ExchangeResult &result)
+bool RoutedCall::maySendAgain(ExchangeEnd end)
 {
-    const HostRoute &route = request_.route->configuration;
-    const bool allowed = provesNotRun(result.end) || (repeatable() && runs_ < route.maxAttempts);
-    if (!allowed || departed_ || sendings_ >= route.maxAttempts + extraSendings
+    const bool allowed = provesNotRun(end) || (repeatable() && runs_ < route_.maxAttempts);
+    if (!allowed || race_->departed || sendings_ >= route_.maxAttempts + extraSendings
         || Clock::now() + leastTime >= request_.deadline) {
         return false;
     }
-    if (result.end != ExchangeEnd::notSent && !runtime_.retryBudget.trySpend()) {
+    if (end != ExchangeEnd::notSent && !runtime_.retryBudget.trySpend()) {
         reason_ = RefusalReason::overloaded;
         return false;
     }
     return true;
 }
 
+// True when the request has its answer, or goes on; false when it can get none.
+bool RoutedCall::takeResult(RacingSending &ended, Yield yield)
+{
+    const Target &target = *ended.sending.target;
+    ExchangeResult &result = ended.result;
+    observe(target, result, Clock::now() - ended.start);
+    runs_ += provesNotRun(result.end) ? 0 : 1;
+    const bool isAnswer = result.end == ExchangeEnd::answered;
+    if (isAnswer && result.response.result_int() < firstServerError) {
+        answer(std::move(result.response), yield);
+        return true;
+    }
+    if (isAnswer) {
+        lastFailure_ = std::move(result.response);
+    }
+    if (anyRunning()) {
+        return true;
+    }
+    const bool again = maySendAgain(result.end);
+    if (!again) {
+        return false;
+    }
+    ++runtime_.counters.retries;
+    logEvent(Event::requestSentAgain, LogLevel::info,
+             "request={} route={} target={} end={} sendings={} runs={}", request_.sendingId,
+             route_.name, target.record.name, exchangeEndName(result.end), sendings_, runs_);
+    return startNext(yield);
+}
+
+// Looking after a sending that takes long.
+
+void RoutedCall::planNextLook()
+{
+    if (!repeatable()) {
+        return;
+    }
+    const auto part = [this](double share) {
+        return std::chrono::duration_cast<Clock::duration>(route_.latencyObjective * share);
+    };
+    const TimePoint first = Clock::now() + part(firstLook);
+    lookAt_ = lookAt_ == TimePoint::max() ? first : Clock::now() + part(lookStep);
+}
+
+// A target that does not answer a question, or says that work takes long there now.
+bool RoutedCall::isStuck(const Target &target) const
+{
+    const TimePoint now = Clock::now();
+    return target.stats->isUnanswered(now) || target.stats->reportedPace() >= slowPace;
+}
+
+// A second sending is worth its cost only when the first is stuck and another target is quick.
+void RoutedCall::lookAfter(Yield yield)
+{
+    planNextLook();
+    const auto running = std::count_if(race_->sendings.begin(), race_->sendings.end(),
+                                       [](const auto &racing) { return !racing->ended; });
+    const int mayRun = runs_ + static_cast<int>(running);
+    if (mayRun >= route_.maxAttempts || running != 1) {
+        return;
+    }
+    const TargetPtr present = race_->sendings.back()->sending.target;
+    std::vector<PlacementView> views = placementViews(service_, tried_, Clock::now());
+    std::vector<TargetPtr> asked = targetsWorthAsking(views);
+    asked.push_back(present);
+    askForLoad(request_.worker, request_.dialect, service_, asked, questionPatience, yield);
+    if (!isStuck(*present) || !anyRunning() || race_->departed) {
+        return;
+    }
+    views = placementViews(service_, tried_, Clock::now());
+    const std::size_t best = bestPlace(views, request_.worker.random());
+    if (best == views.size() || expectedSlowness(views[best]) > quickEnough) {
+        return;
+    }
+    const TargetPtr &target = service_.targets[views[best].index];
+    if (!target->stats->tryAcquire(target->record.slots)) {
+        return;
+    }
+    if (!runtime_.retryBudget.trySpend()) {
+        releaseTarget(service_, *target);
+        return;
+    }
+    ++runtime_.counters.hedges;
+    logEvent(Event::requestSentAgain, LogLevel::info,
+             "request={} route={} target={} end=slow pace={:.2f} sendings={} runs={}",
+             request_.sendingId, route_.name, present->record.name,
+             present->stats->reportedPace(), sendings_, runs_);
+    start(target);
+}
+
+// The end.
+
 void RoutedCall::answer(HttpResponse response, Yield yield)
 {
+    finish();
     const auto elapsed = Clock::now() - request_.arrival;
-    const HostRoute &route = request_.route->configuration;
-    if (elapsed > route.latencyObjective) {
-        logEvent(Event::requestLate, LogLevel::info, "request={} route={} status={} ms={} sendings={}",
-                 request_.sendingId, route.name, response.result_int(),
-                 static_cast<int>(toMilliseconds(elapsed)), sendings_);
+    if (elapsed > route_.latencyObjective) {
+        logEvent(Event::requestLate, LogLevel::info,
+                 "request={} route={} status={} ms={} sendings={}", request_.sendingId,
+                 route_.name, response.result_int(), static_cast<int>(toMilliseconds(elapsed)),
+                 sendings_);
     }
     removeHopByHop(response);
     ++runtime_.counters.answered;
     runtime_.latency.record(elapsed);
+    answered_ = true;
     (void)request_.caller.writeWhole(std::move(response), yield);
 }
 
@@ -245,7 +390,7 @@
     ++runtime_.counters.refused[static_cast<std::size_t>(reason)];
     logEvent(ran ? Event::requestFailed : Event::requestRefused, LogLevel::info,
              "request={} route={} service={} version={} reason={} run={} sendings={} ms={}",
-             request_.sendingId, request_.route->configuration.name, service_.configuration.name,
+             request_.sendingId, route_.name, service_.configuration.name,
              request_.version.number, refusalReasonName(reason), ran ? "unknown" : "no", sendings_,
              static_cast<int>(toMilliseconds(Clock::now() - request_.arrival)));
     (void)request_.caller.writeWhole(
@@ -255,10 +400,14 @@
 // A target's own failure is passed on as it is, unless its status would promise what is not so.
 void RoutedCall::giveUp(Yield yield)
 {
+    for (const auto &racing : race_->sendings) {
+        runs_ += racing->taken ? 0 : 1;
+    }
     if (lastFailure_ && !promisesNotRun(lastFailure_->result_int())) {
         answer(std::move(*lastFailure_), yield);
         return;
     }
+    finish();
     const bool late = Clock::now() + leastTime >= request_.deadline;
     if (runs_ > 0) {
         refuseWith(late ? RefusalReason::deadlineExceeded : RefusalReason::targetFailed, yield);
@@ -267,40 +416,47 @@
     refuseWith(reason_, yield);
 }
 
-void RoutedCall::run(Yield yield)
+void RoutedCall::finish()
 {
-    request_.caller.watchDeparture([this] { depart(); });
-    while (true) {
-        const TargetPtr target = place(yield);
-        if (!target) {
-            break;
-        }
-        ExchangeResult result = sendTo(target, yield);
-        if (departed_) {
-            break;
-        }
-        const bool answered = result.end == ExchangeEnd::answered;
-        const bool failed = answered && result.response.result_int() >= firstServerError;
-        if (answered && !failed) {
-            answer(std::move(result.response), yield);
-            return;
-        }
-        const ExchangeEnd end = result.end;
-        const bool again = maySendAgain(result);
-        if (answered) {
-            lastFailure_ = std::move(result.response);
+    request_.caller.stopWatching();
+    for (const auto &racing : race_->sendings) {
+        if (!racing->ended) {
+            racing->sending.handle.cancel();
         }
-        if (!again) {
-            break;
+    }
+}
+
+void RoutedCall::waitForEvent(Yield yield)
+{
+    ErrorCode ignored;
+    race_->signal.expires_at(std::min(lookAt_, request_.deadline));
+    race_->signal.async_wait(yield[ignored]);
+}
+
+void RoutedCall::run(Yield yield)
+{
+    request_.caller.watchDeparture([race = race_] {
+        race->departed = true;
+        race->signal.cancel();
+    });
+    bool goesOn = startNext(yield);
+    while (goesOn && !answered_ && !race_->departed) {
+        const auto ended = takeEnded();
+        if (ended) {
+            goesOn = takeResult(*ended, yield);
+        } else if (Clock::now() >= request_.deadline) {
+            goesOn = false;
+        } else if (Clock::now() >= lookAt_) {
+            lookAfter(yield);
+        } else {
+            waitForEvent(yield);
         }
-        ++runtime_.counters.retries;
-        logEvent(Event::requestSentAgain, LogLevel::info,
-                 "request={} route={} target={} end={} sendings={} runs={}", request_.sendingId,
-                 request_.route->configuration.name, target->record.name, exchangeEndName(end),
-                 sendings_, runs_);
     }
-    request_.caller.stopWatching();
-    if (departed_) {
+    if (answered_) {
+        return;
+    }
+    if (race_->departed) {
+        finish();
         ++runtime_.counters.departed;
         request_.caller.abort();
         return;
--- a/src/coordination/entry/RoutedExchange.cpp
+++ b/src/coordination/entry/RoutedExchange.cpp
@@ -40,10 +40,7 @@
 class Exchange
 {
 public:
-    Exchange(RoutedRequest &request, const Target &target, AttemptHandle &handle)
-        : request_(request), target_(target), handle_(handle)
-    {
-    }
+    explicit Exchange(Sending &sending) : sending_(sending) { }
 
     ExchangeResult run(Yield yield);
 
@@ -57,9 +54,7 @@
     void classify(ErrorCode error);
     void finish(Yield yield);
 
-    RoutedRequest &request_;
-    const Target &target_;
-    AttemptHandle &handle_;
+    Sending &sending_;
     std::unique_ptr<TargetConnection> connection_;
     std::shared_ptr<Upload> upload_;
     ExchangeResult result_;
@@ -68,30 +63,29 @@
 std::unique_ptr<TargetConnection> Exchange::connect(Yield yield)
 {
     AttemptOptions options;
-    const bool repeatable = request_.route->configuration.kind == RequestKind::idempotent;
-    options.deadline = std::min(request_.deadline, Clock::now() + dialTime);
-    options.maxIdle = repeatable ? repeatableIdle : singleIdle;
-    return connectTo(request_.worker, target_, options, handle_, yield);
+    options.deadline = std::min(sending_.deadline, Clock::now() + dialTime);
+    options.maxIdle = sending_.repeatable ? repeatableIdle : singleIdle;
+    return connectTo(sending_.worker, *sending_.target, options, sending_.handle, yield);
 }
 
 void Exchange::address()
 {
-    const HeaderNames &names = request_.dialect.headers;
-    const auto left = std::chrono::duration_cast<Milliseconds>(request_.deadline - Clock::now());
-    request_.request.set(names.deadline, std::to_string(std::max<std::int64_t>(1, left.count())));
+    const HeaderNames &names = sending_.dialect.headers;
+    const auto left = std::chrono::duration_cast<Milliseconds>(sending_.deadline - Clock::now());
+    sending_.message.set(names.deadline, std::to_string(std::max<std::int64_t>(1, left.count())));
     if (!names.expectedTarget.empty()) {
-        request_.request.set(names.expectedTarget, target_.record.name);
+        sending_.message.set(names.expectedTarget, sending_.target->record.name);
     }
 }
 
 ErrorCode Exchange::send(Yield yield)
 {
-    if (request_.request.body().size() <= longBodyBytes) {
-        return connection_->sendWhole(request_.request, yield);
+    if (sending_.message.body().size() <= longBodyBytes) {
+        return connection_->sendWhole(sending_.message, yield);
     }
-    upload_ = std::make_shared<Upload>(request_.worker.loop);
-    spawnOn(request_.worker.loop, [this, upload = upload_](Yield inner) {
-        upload->error = connection_->sendWhole(request_.request, inner);
+    upload_ = std::make_shared<Upload>(sending_.worker.loop);
+    spawnOn(sending_.worker.loop, [this, upload = upload_](Yield inner) {
+        upload->error = connection_->sendWhole(sending_.message, inner);
         upload->done = true;
         upload->ended.cancel();
     });
@@ -100,18 +94,18 @@
 
 bool Exchange::isOwn() const
 {
-    const HeaderNames &names = request_.dialect.headers;
+    const HeaderNames &names = sending_.dialect.headers;
     const auto &head = connection_->head();
     const auto echoed = head.find(names.sendingId);
     if (echoed != head.end()) {
-        return std::string(echoed->value()) == request_.sendingId;
+        return std::string(echoed->value()) == sending_.id;
     }
     return !isSuccess(connection_->head().result_int());
 }
 
 ErrorCode Exchange::readOwn(Yield yield)
 {
-    const bool headRequest = request_.request.method() == http::verb::head;
+    const bool headRequest = sending_.message.method() == http::verb::head;
     ErrorCode error = connection_->readHead(headRequest, yield);
     std::string body;
     if (!error) {
@@ -131,7 +125,7 @@
     for (int foreign = 0; !error && !isOwn() && foreign < maxForeignAnswers; ++foreign) {
         logEvent(Event::answerRejected, LogLevel::warning,
                  "request={} target={} status={} because it answers another request",
-                 request_.sendingId, target_.record.name, result_.response.result_int());
+                 sending_.id, sending_.target->record.name, result_.response.result_int());
         error = readOwn(yield);
     }
     if (!error && !isOwn()) {
@@ -142,7 +136,7 @@
 
 void Exchange::classify(ErrorCode error)
 {
-    const HeaderNames &names = request_.dialect.headers;
+    const HeaderNames &names = sending_.dialect.headers;
     result_.silent = !connection_->hasAnswered();
     if (error) {
         const bool late
@@ -153,7 +147,7 @@
         return;
     }
     const unsigned status = result_.response.result_int();
-    if (request_.dialect.provesNotRun(status, result_.response)) {
+    if (sending_.dialect.provesNotRun(status, result_.response)) {
         result_.end = ExchangeEnd::notRun;
         result_.wrongTarget = status == misdirected;
         return;
@@ -176,7 +170,7 @@
     }
     const bool ended = result_.end == ExchangeEnd::answered || result_.end == ExchangeEnd::notRun;
     if (ended && sentWhole && connection_->reusable()) {
-        request_.worker.pool.giveBack(std::move(connection_));
+        sending_.worker.pool.giveBack(std::move(connection_));
     }
 }
 
@@ -188,12 +182,12 @@
     }
     result_.pooled = !connection_->isUnused();
     address();
-    connection_->setDeadline(request_.deadline);
+    connection_->setDeadline(sending_.deadline);
     ErrorCode error = send(yield);
     if (!error) {
         error = readAnswer(yield);
     }
-    handle_.connection = nullptr;
+    sending_.handle.connection = nullptr;
     if (error && upload_ && upload_->done && upload_->error && !connection_->hasAnswered()) {
         error = upload_->error;
     }
@@ -215,10 +209,9 @@
     return end == ExchangeEnd::notRun || end == ExchangeEnd::notSent;
 }
 
-ExchangeResult exchangeWith(RoutedRequest &request, const Target &target, AttemptHandle &handle,
-                            Yield yield)
+ExchangeResult exchange(Sending &sending, Yield yield)
 {
-    return Exchange(request, target, handle).run(yield);
+    return Exchange(sending).run(yield);
 }
 
 } // namespace kumquat
--- a/src/coordination/entry/RoutedExchange.h
+++ b/src/coordination/entry/RoutedExchange.h
@@ -30,8 +30,20 @@
     bool reset = false; ///< the peer ended the connection
 };
 
-/// Sends \p request to \p target, whose place the caller holds and gives back.
-ExchangeResult exchangeWith(RoutedRequest &request, const Target &target, AttemptHandle &handle,
-                            Yield yield);
+/// One sending; it holds all that it needs, since it may outlast the request it belongs to.
+struct Sending
+{
+    Worker &worker;
+    const Dialect &dialect;
+    TargetPtr target;
+    HttpRequest message;
+    std::string id;
+    TimePoint deadline;
+    bool repeatable = false;
+    AttemptHandle handle; ///< ends the sending by closing its connection
+};
+
+/// Sends to the target, whose place the caller holds and gives back.
+ExchangeResult exchange(Sending &sending, Yield yield);
 
 } // namespace kumquat
