Wait for a quick target while that can still meet the objective

Cause: in bursts all quick targets are busy for a moment and requests started on ones four times slower. Change: a request that would be late at the best place waits and asks again, as long as a quick place taken soon can still meet the objective, a quarter of it at most; 45 questions a target and second in place of 30, since the budget ran dry. Second sendings are off meanwhile.

--- a/include/kumquat/Placement.h
+++ b/include/kumquat/Placement.h
@@ -32,6 +32,17 @@
 /// True when a report young enough to be believed leaves no slot free.
 bool isKnownFull(const PlacementView &view);
 
+/// What is known of the time that a request still has.
+struct PlacementTime
+{
+    std::chrono::microseconds work { 0 }; ///< at an ordinary pace; 0 when nothing is known
+    std::chrono::microseconds untilObjective { 0 }; ///< may be negative
+};
+
+/// True when a place this slow would miss the objective although a quicker one, taken within
+/// \p horizon, could still meet it. Answers bursts in which all quick targets are busy for a moment.
+bool isWorthWaiting(double slowness, const PlacementTime &time, std::chrono::microseconds horizon);
+
 /// Positions of the \p count views most worth asking for a fresh report, the best first; those
 /// whose report is fresh anyway are left out. \p random breaks ties.
 std::vector<std::size_t> worthAsking(const std::vector<PlacementView> &views, std::size_t count,
--- a/src/coordination/entry/EntryFeed.cpp
+++ b/src/coordination/entry/EntryFeed.cpp
@@ -17,8 +17,8 @@
 constexpr Milliseconds freezeCheck { 10 };
 /// A budget is shared by entries that each know of the others only roughly.
 constexpr double budgetMargin = 0.7;
-/// Questions a second to one target from all entries together; half of what deployments allow.
-constexpr double questionsPerTarget = 30;
+/// Questions a second to one target from all entries together; three quarters of what deployments allow.
+constexpr double questionsPerTarget = 45;
 
 } // namespace
 
--- a/src/coordination/entry/RoutedCall.cpp
+++ b/src/coordination/entry/RoutedCall.cpp
@@ -26,7 +26,7 @@
 /// Between two looks for a free slot.
 constexpr Milliseconds placePause { 12 };
 /// When a repeatable request is looked after, in parts of its latency objective.
-constexpr double firstLook = 0.45;
+constexpr double firstLook = 100;
 constexpr double lookStep = 0.15;
 /// A target this slow is left for another that is not.
 constexpr double slowPace = 1.8;
@@ -43,6 +43,7 @@
 {
     Sending sending;
     TimePoint start;
+    double slowness = 1; ///< expected at the start
     bool ended = false;
     bool taken = false;
     ExchangeResult result;
@@ -74,7 +75,8 @@
 
     // Placement.
     std::vector<TargetPtr> targetsWorthAsking(const std::vector<PlacementView> &views);
-    TargetPtr placeByReports(Yield yield);
+    TargetPtr placeByReports(bool last, Yield yield);
+    PlacementTime placementTime() const;
     TargetPtr place(Yield yield);
     void waitForPlace(TimePoint until, Yield yield);
 
@@ -107,6 +109,7 @@
     std::optional<HttpResponse> lastFailure_;
     RefusalReason reason_ = RefusalReason::retriesExhausted;
     TimePoint lookAt_ = TimePoint::max();
+    double slowness_ = 1; ///< expected at the place taken last
     int sendings_ = 0;
     int runs_ = 0; ///< sendings that may have run
     bool answered_ = false;
@@ -126,7 +129,7 @@
 }
 
 // Asks the likeliest targets and takes the best of all that is then known.
-TargetPtr RoutedCall::placeByReports(Yield yield)
+TargetPtr RoutedCall::placeByReports(bool last, Yield yield)
 {
     std::vector<PlacementView> views = placementViews(service_, tried_, Clock::now());
     askForLoad(request_.worker, request_.dialect, service_, targetsWorthAsking(views),
@@ -136,10 +139,20 @@
     if (best == views.size()) {
         return nullptr;
     }
+    slowness_ = expectedSlowness(views[best]);
+    if (!last && isWorthWaiting(slowness_, placementTime(), placePause)) {
+        return nullptr;
+    }
     const TargetPtr &target = service_.targets[views[best].index];
     return target->stats->tryAcquire(target->record.slots) ? target : nullptr;
 }
 
+PlacementTime RoutedCall::placementTime() const
+{
+    const auto left = request_.arrival + route_.latencyObjective - Clock::now();
+    return { runtime_.ordinaryWork(), std::chrono::duration_cast<Microseconds>(left) };
+}
+
 void RoutedCall::waitForPlace(TimePoint until, Yield yield)
 {
     ErrorCode ignored;
@@ -152,7 +165,8 @@
     const TimePoint patience = Clock::now() + route_.latencyObjective / objectiveParts;
     const TimePoint until = std::min(patience, request_.deadline - leastTime);
     while (!race_->departed) {
-        TargetPtr target = placeByReports(yield);
+        const bool last = Clock::now() + placePause >= until;
+        TargetPtr target = placeByReports(last, yield);
         if (target && race_->departed) {
             releaseTarget(service_, *target);
             return nullptr;
@@ -183,7 +197,7 @@
     Sending sending { request_.worker,   request_.dialect,  target,       request_.request,
                       request_.sendingId, request_.deadline, repeatable(), {} };
     const auto racing = std::make_shared<RacingSending>(
-        RacingSending { std::move(sending), Clock::now(), false, false, {} });
+        RacingSending { std::move(sending), Clock::now(), slowness_, false, false, {} });
     race_->sendings.push_back(racing);
     planNextLook();
     spawnOn(request_.worker.loop, [racing, race = race_, service = request_.service](Yield yield) {
@@ -282,6 +296,9 @@
     const Target &target = *ended.sending.target;
     ExchangeResult &result = ended.result;
     observe(target, result, Clock::now() - ended.start);
+    if (result.end == ExchangeEnd::answered) {
+        runtime_.recordWork(Clock::now() - ended.start, ended.slowness);
+    }
     runs_ += provesNotRun(result.end) ? 0 : 1;
     const bool isAnswer = result.end == ExchangeEnd::answered;
     if (isAnswer && result.response.result_int() < firstServerError) {
--- a/src/coordination/entry/ServiceRuntime.cpp
+++ b/src/coordination/entry/ServiceRuntime.cpp
@@ -11,6 +11,21 @@
 /// A service with more targets than this is sampled, so that a choice stays cheap.
 constexpr std::size_t maxScanned = 48;
 
+// A lost update between two threads costs one sample, so no retry loop.
+void average(std::atomic<double> &valueUs, Clock::duration elapsed)
+{
+    constexpr double microsecondsPerMillisecond = 1'000;
+    const double sample = toMilliseconds(elapsed) * microsecondsPerMillisecond;
+    const double old = valueUs.load(std::memory_order_relaxed);
+    const double next = old == 0 ? sample : old + serviceTimeWeight * (sample - old);
+    valueUs.store(next, std::memory_order_relaxed);
+}
+
+Microseconds valueOf(const std::atomic<double> &valueUs)
+{
+    return Microseconds(static_cast<std::int64_t>(valueUs.load(std::memory_order_relaxed)));
+}
+
 bool contains(const std::vector<std::string> &names, const std::string &name)
 {
     return std::find(names.begin(), names.end(), name) != names.end();
@@ -99,29 +114,32 @@
 
 void ServiceRuntime::recordServiceTime(Clock::duration elapsed)
 {
-    const double sample = toMilliseconds(elapsed) * 1000;
-    const double old = serviceTimeUs_.load(std::memory_order_relaxed);
-    const double next = old == 0 ? sample : old + serviceTimeWeight * (sample - old);
-    serviceTimeUs_.store(next, std::memory_order_relaxed);
+    average(serviceTimeUs_, elapsed);
+}
+
+Microseconds ServiceRuntime::meanServiceTime() const
+{
+    return valueOf(serviceTimeUs_);
 }
 
 void ServiceRuntime::recordQuestionTime(Clock::duration elapsed)
 {
-    const double sample = toMilliseconds(elapsed) * 1000;
-    const double old = questionTimeUs_.load(std::memory_order_relaxed);
-    const double next = old == 0 ? sample : old + serviceTimeWeight * (sample - old);
-    questionTimeUs_.store(next, std::memory_order_relaxed);
+    average(questionTimeUs_, elapsed);
 }
 
 Microseconds ServiceRuntime::meanQuestionTime() const
 {
-    return Microseconds(static_cast<std::int64_t>(questionTimeUs_.load(std::memory_order_relaxed)));
+    return valueOf(questionTimeUs_);
 }
 
-Microseconds ServiceRuntime::meanServiceTime() const
+void ServiceRuntime::recordWork(Clock::duration elapsed, double slowness)
+{
+    average(workUs_, std::chrono::duration_cast<Clock::duration>(elapsed / std::max(1.0, slowness)));
+}
+
+Microseconds ServiceRuntime::ordinaryWork() const
 {
-    const double value = serviceTimeUs_.load(std::memory_order_relaxed);
-    return Microseconds(static_cast<std::int64_t>(value));
+    return valueOf(workUs_);
 }
 
 std::vector<PlacementView> placementViews(const ActiveService &service,
--- a/src/coordination/entry/ServiceRuntime.h
+++ b/src/coordination/entry/ServiceRuntime.h
@@ -65,6 +65,11 @@
     void recordQuestionTime(Clock::duration elapsed);
     Microseconds meanQuestionTime() const;
 
+    /// Records the time of an answer from a target that was \p slowness times slower than usual.
+    void recordWork(Clock::duration elapsed, double slowness);
+    /// What a request takes at an ordinary pace; zero before the first answer.
+    Microseconds ordinaryWork() const;
+
     RetryBudget retryBudget;
     TokenBucket questionBudget { 0, 0 }; ///< used by one worker
     LatencyRecorder latency; ///< of answered requests, as callers see it
@@ -75,6 +80,7 @@
     std::atomic<std::size_t> waitingCount_ { 0 };
     std::atomic<double> serviceTimeUs_ { 0 };
     std::atomic<double> questionTimeUs_ { 0 };
+    std::atomic<double> workUs_ { 0 };
     std::mutex mutex_;
     std::deque<std::shared_ptr<Waiter>> waiters_;
 };
--- a/src/coordination/policy/Placement.cpp
+++ b/src/coordination/policy/Placement.cpp
@@ -68,6 +68,15 @@
     return view.own >= view.slots || (believed && view.own + view.foreign >= view.slots);
 }
 
+bool isWorthWaiting(double slowness, const PlacementTime &time, Microseconds horizon)
+{
+    const auto work = static_cast<double>(time.work.count());
+    const auto left = static_cast<double>(time.untilObjective.count());
+    const bool late = work * slowness > left;
+    return time.work.count() > 0 && late
+        && work * nearlyFullSlowdown + static_cast<double>(horizon.count()) < left;
+}
+
 std::vector<std::size_t> worthAsking(const std::vector<PlacementView> &views, std::size_t count,
                                      std::uint64_t random)
 {
