Send a repeatable request once more when its target has fallen silent

Cause: a target that loses power keeps its requests until their deadline. Change: only what other requests' questions have found counts; the second sending goes to a quick target.

--- a/src/coordination/entry/RoutedCall.cpp
+++ b/src/coordination/entry/RoutedCall.cpp
@@ -26,10 +26,9 @@
 /// Between two looks for a free slot.
 constexpr Milliseconds placePause { 12 };
 /// When a repeatable request is looked after, in parts of its latency objective.
-constexpr double firstLook = 100;
+constexpr double firstLook = 0.5;
 constexpr double lookStep = 0.15;
-/// A target this slow is left for another that is not.
-constexpr double slowPace = 1.8;
+/// Another target must be about this quick to be worth a second sending.
 constexpr double quickEnough = 1.7;
 
 /// A status that tells the caller that the request was not run and never will be.
@@ -336,11 +335,11 @@
     lookAt_ = lookAt_ == TimePoint::max() ? first : Clock::now() + part(lookStep);
 }
 
-// A target that does not answer a question, or says that work takes long there now.
+// Other requests' questions have told; a question of its own would cost their budget.
 bool RoutedCall::isStuck(const Target &target) const
 {
     const TimePoint now = Clock::now();
-    return target.stats->isUnanswered(now) || target.stats->reportedPace() >= slowPace;
+    return target.stats->isUnanswered(now);
 }
 
 // A second sending is worth its cost only when the first is stuck and another target is quick.
@@ -354,11 +353,13 @@
         return;
     }
     const TargetPtr present = race_->sendings.back()->sending.target;
+    if (!isStuck(*present)) {
+        return;
+    }
     std::vector<PlacementView> views = placementViews(service_, tried_, Clock::now());
-    std::vector<TargetPtr> asked = targetsWorthAsking(views);
-    asked.push_back(present);
-    askForLoad(request_.worker, request_.dialect, service_, asked, questionPatience, yield);
-    if (!isStuck(*present) || !anyRunning() || race_->departed) {
+    askForLoad(request_.worker, request_.dialect, service_, targetsWorthAsking(views),
+               questionPatience, yield);
+    if (!anyRunning() || race_->departed) {
         return;
     }
     views = placementViews(service_, tried_, Clock::now());
