--- a/daemons/Control.cpp
+++ b/daemons/Control.cpp
@@ -26,7 +26,12 @@
         return 0;
     }
     kumquat::startProgram(settings->name);
-    auto control = kumquat::ControlProcessBuilder().settings(*settings).settingsFile(FLAGS_settings).clusterKey(*key).dialect(kumquat::platform::dialectNamed(settings->dialect)).build();
+    auto control = kumquat::ControlProcessBuilder()
+                       .settings(*settings)
+                       .settingsFile(FLAGS_settings)
+                       .clusterKey(*key)
+                       .dialect(kumquat::platform::dialectNamed(settings->dialect))
+                       .build();
     if (!control.ok()) {
         return kumquat::failProgram(control.status());
     }
--- a/daemons/Entry.cpp
+++ b/daemons/Entry.cpp
@@ -26,7 +26,12 @@
         return 0;
     }
     kumquat::startProgram(settings->name);
-    auto entry = kumquat::EntryProcessBuilder().settings(*settings).settingsFile(FLAGS_settings).clusterKey(*key).dialect(kumquat::platform::dialectNamed(settings->dialect)).build();
+    auto entry = kumquat::EntryProcessBuilder()
+                     .settings(*settings)
+                     .settingsFile(FLAGS_settings)
+                     .clusterKey(*key)
+                     .dialect(kumquat::platform::dialectNamed(settings->dialect))
+                     .build();
     if (!entry.ok()) {
         return kumquat::failProgram(entry.status());
     }
--- a/include/kumquat/Placement.h
+++ b/include/kumquat/Placement.h
@@ -40,7 +40,8 @@
 };
 
 /// True when a place this slow would miss the objective although a quicker one, taken within
-/// \p horizon, could still meet it. Answers bursts in which all quick targets are busy for a moment.
+/// \p horizon, could still meet it. Answers bursts in which all quick targets are busy for a
+/// moment.
 bool isWorthWaiting(double slowness, const PlacementTime &time, std::chrono::microseconds horizon);
 
 /// Positions of the \p count views most worth asking for a fresh report, the best first; those
--- a/src/common/FileWatch.cpp
+++ b/src/common/FileWatch.cpp
@@ -5,7 +5,9 @@
 
 namespace kumquat {
 
-FileWatch::FileWatch(std::string file) : file_(std::move(file)), known_(read().value_or("")) { }
+FileWatch::FileWatch(std::string file) : file_(std::move(file)), known_(read().value_or(""))
+{
+}
 
 std::optional<std::string> FileWatch::read() const
 {
--- a/src/common/Program.h
+++ b/src/common/Program.h
@@ -15,7 +15,8 @@
 /// Lets the process keep memory that it frees, up to a bound.
 void keepFreedMemory();
 
-/// Ignores SIGPIPE and SIGHUP, blocks the stop signals for all threads started later, starts the log.
+/// Ignores SIGPIPE and SIGHUP, blocks the stop signals for all threads started later, starts the
+/// log.
 void startProgram(const std::string &name);
 
 /// The exit codes of a program that cannot start.
--- a/src/coordination/consensus/GroupNode.cpp
+++ b/src/coordination/consensus/GroupNode.cpp
@@ -115,8 +115,7 @@
     state.snapshot.index = 1;
     state.snapshot.term = 1;
     for (const std::string &address : options_.founders) {
-        state.snapshot.members.push_back(
-            { founderIdentity(address), address, address, true, "" });
+        state.snapshot.members.push_back({ founderIdentity(address), address, address, true, "" });
     }
     absl::Status status = store_.create(state.identity);
     status.Update(store_.replace(state.snapshot, state.hardState, {}));
--- a/src/coordination/consensus/GroupNode.h
+++ b/src/coordination/consensus/GroupNode.h
@@ -72,7 +72,10 @@
     void handOver();
 
     /// Where a member that is not in the group yet asks to be taken in.
-    void setPeers(std::vector<std::string> addresses) { options_.peerAddresses = std::move(addresses); }
+    void setPeers(std::vector<std::string> addresses)
+    {
+        options_.peerAddresses = std::move(addresses);
+    }
 
     const Raft &raft() const { return *raft_; }
     const ControlState &state() const { return state_; }
--- a/src/coordination/consensus/RaftMembership.cpp
+++ b/src/coordination/consensus/RaftMembership.cpp
@@ -61,8 +61,8 @@
 
 std::size_t Raft::votersIn(const std::string &failureDomain) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(members_.begin(), members_.end(), [&failureDomain](const GroupMember &member) {
+    return static_cast<std::size_t>(std::count_if(
+        members_.begin(), members_.end(), [&failureDomain](const GroupMember &member) {
             return member.voter && member.failureDomain == failureDomain;
         }));
 }
@@ -87,8 +87,8 @@
 {
     for (const GroupMember &member : members_) {
         const auto progress = progress_.find(member.id);
-        const bool silent = progress != progress_.end()
-            && now - progress->second.heardAt > longerThan;
+        const bool silent
+            = progress != progress_.end() && now - progress->second.heardAt > longerThan;
         if (member.id != self_.id && member.voter == voter && silent) {
             return &member;
         }
--- a/src/coordination/control/ControlDocuments.cpp
+++ b/src/coordination/control/ControlDocuments.cpp
@@ -180,7 +180,8 @@
     copy.set(http::field::content_type, request[http::field::content_type]);
     copy.set(wire::passedOn, "1");
     copy.body() = request.body();
-    const auto answer = leaderClient_.send(*parseAddress(leader), std::move(copy), passOnTime, yield);
+    const auto answer
+        = leaderClient_.send(*parseAddress(leader), std::move(copy), passOnTime, yield);
     if (!answer.ok()) {
         return notNow("the leader does not answer");
     }
--- a/src/coordination/control/ControlProcess.cpp
+++ b/src/coordination/control/ControlProcess.cpp
@@ -64,7 +64,8 @@
 
 absl::StatusOr<std::unique_ptr<ControlProcess>> ControlProcessBuilder::build()
 {
-    auto control = std::make_unique<Control>(settings_, file_, key_, dialect_ == nullptr ? productDialect() : *dialect_);
+    auto control = std::make_unique<Control>(settings_, file_, key_,
+                                             dialect_ == nullptr ? productDialect() : *dialect_);
     const absl::Status opened = control->open();
     if (!opened.ok()) {
         return opened;
--- a/src/coordination/control/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -31,8 +31,7 @@
 } // namespace
 
 ControlServer::ControlServer(ControlSettings settings, const std::string &settingsFile,
-                             const std::string &key,
-                             const Dialect &dialect)
+                             const std::string &key, const Dialect &dialect)
     : settings_(std::move(settings)), settingsWatch_(settingsFile),
       authenticator_(key.empty() ? nullptr : std::make_shared<Authenticator>(key)),
       dialect_(dialect), leaderClient_(loop_, authenticator_)
--- a/src/coordination/control/ControlServer.h
+++ b/src/coordination/control/ControlServer.h
@@ -6,9 +6,9 @@
 #include "common/FileWatch.h"
 #include "coordination/consensus/GroupNode.h"
 #include "coordination/consensus/PeerLinks.h"
+#include "coordination/control/ControlRpc.h"
 #include "coordination/control/TargetRegistry.h"
 #include "coordination/membership/ControlFeed.h"
-#include "coordination/control/ControlRpc.h"
 #include "kumquat/Settings.h"
 #include "transport/HttpClient.h"
 
@@ -19,8 +19,8 @@
 class ControlServer
 {
 public:
-    ControlServer(ControlSettings settings, const std::string &settingsFile,
-                  const std::string &key, const Dialect &dialect);
+    ControlServer(ControlSettings settings, const std::string &settingsFile, const std::string &key,
+                  const Dialect &dialect);
 
     absl::Status open();
     /// Runs the event loop until stop().
--- a/src/coordination/entry/EntryCoordinator.cpp
+++ b/src/coordination/entry/EntryCoordinator.cpp
@@ -64,8 +64,8 @@
                                    std::shared_ptr<Authenticator> authenticator,
                                    std::shared_ptr<std::atomic<std::size_t>> leader)
     : core_(core), settings_(std::move(settings)), settingsWatch_(settingsFile),
-      authenticator_(std::move(authenticator)),
-      datagrams_(loop_, authenticator_), probeClient_(loop_, nullptr),
+      authenticator_(std::move(authenticator)), datagrams_(loop_, authenticator_),
+      probeClient_(loop_, nullptr),
       control_(loop_, authenticator_, parsed(settings_.controlMembers), std::move(leader)),
       probeBudget_(configuration_.probesPerSecond, probeBurst)
 {
--- a/src/coordination/entry/EntryFeed.cpp
+++ b/src/coordination/entry/EntryFeed.cpp
@@ -17,7 +17,8 @@
 constexpr Milliseconds freezeCheck { 10 };
 /// A budget is shared by entries that each know of the others only roughly.
 constexpr double budgetMargin = 0.7;
-/// Questions a second to one target from all entries together; three quarters of what deployments allow.
+/// Questions a second to one target from all entries together; three quarters of what deployments
+/// allow.
 constexpr double questionsPerTarget = 45;
 
 } // namespace
@@ -26,9 +27,8 @@
 {
     ControlFeedHooks hooks;
     hooks.fillPoll = [this](FeedPoll &poll) { fillPoll(poll); };
-    hooks.take = [this](const std::string &member, const FeedAnswer &answer) {
-        takeFeed(member, answer);
-    };
+    hooks.take
+        = [this](const std::string &member, const FeedAnswer &answer) { takeFeed(member, answer); };
     hooks.reachabilityChanged = [this](const std::string &member, bool reachable) {
         noteReachability(member, reachable);
     };
@@ -102,9 +102,10 @@
         silentAt_[member].erase(record.name);
     }
     // A member that was cut off has heard nothing itself: one that has heard the target is enough.
-    const bool silentEverywhere = std::all_of(
-        entriesAt_.begin(), entriesAt_.end(),
-        [this, &record](const auto &entry) { return silentAt_[entry.first].count(record.name) > 0; });
+    const bool silentEverywhere
+        = std::all_of(entriesAt_.begin(), entriesAt_.end(), [this, &record](const auto &entry) {
+              return silentAt_[entry.first].count(record.name) > 0;
+          });
     const auto stats = stats_.find(record.name);
     if (stats != stats_.end()) {
         setReachable(record, !silentEverywhere, false);
@@ -166,7 +167,8 @@
             const SharedRetryBudget &budget = settings_.retryBudget;
             service->runtime->retryBudget.setShare(budget.ratio * budgetMargin);
             const double targets = static_cast<double>(service->targets.size());
-            const double questions = questionsPerTarget * targets / static_cast<double>(liveEntries());
+            const double questions
+                = questionsPerTarget * targets / static_cast<double>(liveEntries());
             service->runtime->questionBudget.setRate(questions, questions);
             service->runtime->retryBudget.setMost(
                 std::max(1.0, budget.slack * budgetMargin / static_cast<double>(liveEntries())));
--- a/src/coordination/entry/EntryProcess.cpp
+++ b/src/coordination/entry/EntryProcess.cpp
@@ -17,9 +17,11 @@
 class Entry : public EntryProcess
 {
 public:
-    Entry(EntrySettings settings, const std::string &file, const std::string &key, const Dialect &dialect)
+    Entry(EntrySettings settings, const std::string &file, const std::string &key,
+          const Dialect &dialect)
         : settings_(std::move(settings)),
-          authenticator_(key.empty() ? nullptr : std::make_shared<Authenticator>(key)), leader_(std::make_shared<std::atomic<std::size_t>>(0)),
+          authenticator_(key.empty() ? nullptr : std::make_shared<Authenticator>(key)),
+          leader_(std::make_shared<std::atomic<std::size_t>>(0)),
           coordinator_(core_, settings_, file, authenticator_, leader_)
     {
         core_.dialect = &dialect;
@@ -152,7 +154,8 @@
 
 absl::StatusOr<std::unique_ptr<EntryProcess>> EntryProcessBuilder::build()
 {
-    auto entry = std::make_unique<Entry>(settings_, file_, key_, dialect_ == nullptr ? productDialect() : *dialect_);
+    auto entry = std::make_unique<Entry>(settings_, file_, key_,
+                                         dialect_ == nullptr ? productDialect() : *dialect_);
     const absl::Status opened = entry->open();
     if (!opened.ok()) {
         return opened;
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -180,11 +180,20 @@
         return;
     }
     const HeaderNames &names = core_.dialect->headers;
-    RoutedRequest request { caller, worker_,       *core_.dialect, route, route->nextService(),
-                            routing->version,      start,          {},    {},
-                            std::string(header[names.sendingId]),  0 };
+    RoutedRequest request { caller,
+                            worker_,
+                            *core_.dialect,
+                            route,
+                            route->nextService(),
+                            routing->version,
+                            start,
+                            {},
+                            {},
+                            std::string(header[names.sendingId]),
+                            0 };
     const Milliseconds timeout = route->configuration.timeout;
-    request.deadline = start + std::min(timeout, readDeadline(header, names.deadline).value_or(timeout));
+    request.deadline
+        = start + std::min(timeout, readDeadline(header, names.deadline).value_or(timeout));
     ServiceRuntime &runtime = *request.service->runtime;
     ++runtime.counters.requests;
     runtime.retryBudget.earn();
@@ -202,8 +211,7 @@
     };
     request.request = HttpRequest(request.caller.header());
     removeHopByHop(request.request);
-    const auto limit
-        = static_cast<std::size_t>(core_.routing.read()->callerLimits.maxBodyBytes);
+    const auto limit = static_cast<std::size_t>(core_.routing.read()->callerLimits.maxBodyBytes);
     const ErrorCode error
         = request.caller.readBody(request.request.body(), limit, request.deadline, yield);
     if (error == http::error::body_limit) {
--- a/src/coordination/entry/RoutedCall.cpp
+++ b/src/coordination/entry/RoutedCall.cpp
@@ -19,7 +19,7 @@
 constexpr Milliseconds leastTime { 5 };
 constexpr unsigned firstServerError = 500;
 /// Targets asked for each placement; fewer where a question takes a target long.
-constexpr std::size_t quickQuestions = 8;
+constexpr std::size_t quickQuestions = 14;
 constexpr std::size_t slowQuestions = 4;
 constexpr Microseconds slowQuestion { 6'000 };
 constexpr Milliseconds questionPatience { 15 };
@@ -62,8 +62,7 @@
 public:
     explicit RoutedCall(RoutedRequest &request)
         : request_(request), route_(request.route->configuration), service_(*request.service),
-          runtime_(*request.service->runtime),
-          race_(std::make_shared<Race>(request.worker.loop))
+          runtime_(*request.service->runtime), race_(std::make_shared<Race>(request.worker.loop))
     {
     }
 
@@ -193,7 +192,7 @@
 {
     tried_.push_back(target->record.name);
     ++sendings_;
-    Sending sending { request_.worker,   request_.dialect,  target,       request_.request,
+    Sending sending { request_.worker,    request_.dialect,  target,       request_.request,
                       request_.sendingId, request_.deadline, repeatable(), {} };
     const auto racing = std::make_shared<RacingSending>(
         RacingSending { std::move(sending), Clock::now(), slowness_, false, false, {} });
@@ -378,8 +377,8 @@
     ++runtime_.counters.hedges;
     logEvent(Event::requestSentAgain, LogLevel::info,
              "request={} route={} target={} end=slow pace={:.2f} sendings={} runs={}",
-             request_.sendingId, route_.name, present->record.name,
-             present->stats->reportedPace(), sendings_, runs_);
+             request_.sendingId, route_.name, present->record.name, present->stats->reportedPace(),
+             sendings_, runs_);
     start(target);
 }
 
@@ -391,9 +390,8 @@
     const auto elapsed = Clock::now() - request_.arrival;
     if (elapsed > route_.latencyObjective) {
         logEvent(Event::requestLate, LogLevel::info,
-                 "request={} route={} status={} ms={} sendings={}", request_.sendingId,
-                 route_.name, response.result_int(), static_cast<int>(toMilliseconds(elapsed)),
-                 sendings_);
+                 "request={} route={} status={} ms={} sendings={}", request_.sendingId, route_.name,
+                 response.result_int(), static_cast<int>(toMilliseconds(elapsed)), sendings_);
     }
     removeHopByHop(response);
     ++runtime_.counters.answered;
@@ -408,8 +406,8 @@
     ++runtime_.counters.refused[static_cast<std::size_t>(reason)];
     logEvent(ran ? Event::requestFailed : Event::requestRefused, LogLevel::info,
              "request={} route={} service={} version={} reason={} run={} sendings={} ms={}",
-             request_.sendingId, route_.name, service_.configuration.name,
-             request_.version.number, refusalReasonName(reason), ran ? "unknown" : "no", sendings_,
+             request_.sendingId, route_.name, service_.configuration.name, request_.version.number,
+             refusalReasonName(reason), ran ? "unknown" : "no", sendings_,
              static_cast<int>(toMilliseconds(Clock::now() - request_.arrival)));
     (void)request_.caller.writeWhole(
         refusal(reason, ran ? RunOutcome::unknown : RunOutcome::notRun), yield);
--- a/src/coordination/entry/RoutedExchange.cpp
+++ b/src/coordination/entry/RoutedExchange.cpp
@@ -124,8 +124,8 @@
     ErrorCode error = readOwn(yield);
     for (int foreign = 0; !error && !isOwn() && foreign < maxForeignAnswers; ++foreign) {
         logEvent(Event::answerRejected, LogLevel::warning,
-                 "request={} target={} status={} because it answers another request",
-                 sending_.id, sending_.target->record.name, result_.response.result_int());
+                 "request={} target={} status={} because it answers another request", sending_.id,
+                 sending_.target->record.name, result_.response.result_int());
         error = readOwn(yield);
     }
     if (!error && !isOwn()) {
@@ -139,10 +139,10 @@
     const HeaderNames &names = sending_.dialect.headers;
     result_.silent = !connection_->hasAnswered();
     if (error) {
-        const bool late
-            = error == beast::error::timeout || error == asio::error::operation_aborted;
+        const bool late = error == beast::error::timeout || error == asio::error::operation_aborted;
         result_.end = late ? ExchangeEnd::late : ExchangeEnd::broken;
-        result_.reset = !late && error.category() != http::make_error_code(http::error::bad_value).category();
+        result_.reset
+            = !late && error.category() != http::make_error_code(http::error::bad_value).category();
         result_.reset = result_.reset || error == http::error::end_of_stream;
         return;
     }
@@ -152,8 +152,8 @@
         result_.wrongTarget = status == misdirected;
         return;
     }
-    const bool stamped = names.stamp.empty()
-        || result_.response.find(names.stamp) != result_.response.end();
+    const bool stamped
+        = names.stamp.empty() || result_.response.find(names.stamp) != result_.response.end();
     result_.end = isSuccess(status) && !stamped ? ExchangeEnd::broken : ExchangeEnd::answered;
 }
 
--- a/src/coordination/entry/ServiceRuntime.cpp
+++ b/src/coordination/entry/ServiceRuntime.cpp
@@ -134,7 +134,8 @@
 
 void ServiceRuntime::recordWork(Clock::duration elapsed, double slowness)
 {
-    average(workUs_, std::chrono::duration_cast<Clock::duration>(elapsed / std::max(1.0, slowness)));
+    average(workUs_,
+            std::chrono::duration_cast<Clock::duration>(elapsed / std::max(1.0, slowness)));
 }
 
 Microseconds ServiceRuntime::ordinaryWork() const
--- a/src/coordination/membership/TargetFeed.cpp
+++ b/src/coordination/membership/TargetFeed.cpp
@@ -6,9 +6,8 @@
 
 bool sameNews(const TargetRecord &left, const TargetRecord &right)
 {
-    return left.incarnation == right.incarnation && left.state == right.state
-        && left.ip == right.ip && left.port == right.port && left.service == right.service
-        && left.slots == right.slots;
+    return left.incarnation == right.incarnation && left.state == right.state && left.ip == right.ip
+        && left.port == right.port && left.service == right.service && left.slots == right.slots;
 }
 
 } // namespace
--- a/src/coordination/policy/Placement.cpp
+++ b/src/coordination/policy/Placement.cpp
@@ -22,7 +22,7 @@
 /// A nearer target saves the way, which is short beside the work.
 constexpr double nearnessGain = 0.97;
 /// Reports younger than this need no asking.
-constexpr Microseconds freshReport { 4'000 };
+constexpr Microseconds freshReport { 5'000 };
 /// Reports older than this prove nothing of free slots.
 constexpr Microseconds believedReport { 60'000 };
 /// Views within this of the best are as good.
@@ -58,8 +58,7 @@
     const double queued = std::max(0.0, occupied - view.slots) / view.slots;
     const double warm = view.cold ? coldSlowdown : 1;
     const double near = view.sameDomain ? nearnessGain : 1;
-    return expectedPace(view) * (full + queued) * warm * near
-        * (1 + errorPenalty * view.errorRate);
+    return expectedPace(view) * (full + queued) * warm * near * (1 + errorPenalty * view.errorRate);
 }
 
 bool isKnownFull(const PlacementView &view)
--- a/src/coordination/policy/RetryBudget.h
+++ b/src/coordination/policy/RetryBudget.h
@@ -22,7 +22,8 @@
         double saved = saved_.load(std::memory_order_relaxed);
         double next = 0;
         do {
-            next = std::min(most_.load(std::memory_order_relaxed), saved + share_.load(std::memory_order_relaxed));
+            next = std::min(most_.load(std::memory_order_relaxed),
+                            saved + share_.load(std::memory_order_relaxed));
         } while (!saved_.compare_exchange_weak(saved, next, std::memory_order_relaxed));
     }
 
