A voter that was replaced while away asks to be taken in again; tests of what was built

Ruled out: a second group (the others agree on one). Change: a member that hears of no leader asks to join; a leader that counts it as a voter ignores that.

--- a/src/coordination/consensus/GroupNode.cpp
+++ b/src/coordination/consensus/GroupNode.cpp
@@ -191,11 +191,14 @@
     pump();
 }
 
-// A member that is no voter keeps asking to be taken in, under its own identity.
+// A member that is no voter keeps asking to be taken in, under its own identity. One that hears of
+// no leader may have been replaced while it was away, and not know it; to a leader that counts it
+// as a voter still, its asking means nothing.
 void GroupNode::askToJoin()
 {
     const TimePoint now = hooks_.now();
-    if (raft_->self().voter || now < joinAt_) {
+    const bool belongs = raft_->self().voter && raft_->leader() != 0;
+    if (belongs || now < joinAt_) {
         return;
     }
     joinAt_ = now + joinInterval;
--- /dev/null
+++ b/test/correctness/PlacementChoices.cpp
@@ -0,0 +1,98 @@
+// Where a request goes, by what is known of the targets and how old it is.
+#include "TestSupport.h"
+#include "kumquat/Placement.h"
+
+using namespace kumquat;
+
+namespace {
+
+PlacementView view(int own, double foreign, double pace, Milliseconds age)
+{
+    PlacementView result;
+    result.slots = 2;
+    result.own = own;
+    result.foreign = foreign;
+    result.pace = pace;
+    result.age = age;
+    result.reported = true;
+    return result;
+}
+
+constexpr Milliseconds now { 0 };
+
+} // namespace
+
+TEST_GROUP(PlacementChoices) {};
+
+TEST(PlacementChoices, anIdleQuickTargetGoesBeforeAllOthers)
+{
+    const std::vector<PlacementView> views
+        = { view(0, 0, 4, now), view(1, 0, 1, now), view(0, 0, 1, now), view(0, 2, 1, now) };
+    LONGS_EQUAL(2, bestPlace(views, 7));
+}
+
+TEST(PlacementChoices, aSecondRequestAtAQuickTargetBeatsAnIdleSlowOne)
+{
+    LONGS_EQUAL(1, bestPlace({ view(0, 0, 4, now), view(1, 0, 1, now) }, 7));
+}
+
+TEST(PlacementChoices, aFullTargetGetsNothing)
+{
+    LONGS_EQUAL(2, bestPlace({ view(2, 0, 1, now), view(0, 2, 1, now) }, 7));
+    CHECK_TRUE(isKnownFull(view(1, 1, 1, now)));
+}
+
+TEST(PlacementChoices, anOldReportOfFullnessIsNotBelieved)
+{
+    CHECK_FALSE(isKnownFull(view(0, 2, 1, Milliseconds(200))));
+    // What this entry itself has there is no report and does not age.
+    CHECK_TRUE(isKnownFull(view(2, 0, 1, Milliseconds(200))));
+}
+
+TEST(PlacementChoices, aReportOfPaceFadesToTheUnknown)
+{
+    PlacementView unknown;
+    unknown.slots = 2;
+    const double early = expectedSlowness(view(0, 0, 4, now));
+    const double later = expectedSlowness(view(0, 0, 4, Milliseconds(300)));
+    const double muchLater = expectedSlowness(view(0, 0, 4, Milliseconds(5'000)));
+    CHECK_TRUE(early > later && later > muchLater);
+    DOUBLES_EQUAL(expectedSlowness(unknown), muchLater, 0.01);
+}
+
+TEST(PlacementChoices, aTargetThatFailsFastDoesNotLookQuick)
+{
+    PlacementView failing = view(0, 0, 1, now);
+    failing.errorRate = 0.5;
+    CHECK_TRUE(expectedSlowness(failing) > expectedSlowness(view(1, 0, 1, now)));
+}
+
+TEST(PlacementChoices, amongEqualsChanceDecides)
+{
+    const std::vector<PlacementView> views(4, view(0, 0, 1, now));
+    std::set<std::size_t> picked;
+    for (std::uint64_t random = 0; random < 4; ++random) {
+        picked.insert(bestPlace(views, random));
+    }
+    LONGS_EQUAL(4, picked.size());
+}
+
+TEST(PlacementChoices, freshReportsNeedNoQuestion)
+{
+    const std::vector<PlacementView> views
+        = { view(0, 0, 1, Milliseconds(1)), view(0, 0, 1, Milliseconds(90)), view(2, 0, 1, now) };
+    const std::vector<std::size_t> asked = worthAsking(views, 8, 3);
+    LONGS_EQUAL(1, asked.size());
+    LONGS_EQUAL(1, asked[0]);
+}
+
+TEST(PlacementChoices, onlyARequestThatAQuickTargetCanStillServeInTimeWaits)
+{
+    const PlacementTime early { Milliseconds(100), Milliseconds(300) };
+    const PlacementTime late { Milliseconds(100), Milliseconds(150) };
+    constexpr Milliseconds horizon { 12 };
+    CHECK_TRUE(isWorthWaiting(4, early, horizon));
+    CHECK_FALSE(isWorthWaiting(1.6, early, horizon));
+    CHECK_FALSE(isWorthWaiting(4, late, horizon));
+    CHECK_FALSE(isWorthWaiting(4, { Milliseconds(0), Milliseconds(300) }, horizon));
+}
--- /dev/null
+++ b/test/correctness/PlatformDocuments.cpp
@@ -0,0 +1,85 @@
+// A document of the platform is read whole or refused with the place of its fault.
+#include "TestSupport.h"
+#include "platform/Dialect.h"
+
+#include <json/json.h>
+
+using namespace kumquat;
+
+namespace {
+
+const char *const valid = R"({"Version":"0000001c",
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeout":"3000ms","IdleTimeout":"15s"},
+ "Listeners":[{"Hostname":"a.example","Rules":[
+   {"Name":"r1","RouteType":"safe","TargetLatency":"400ms","Priority":2,"Match":{"PathPrefix":"/p/"},
+    "Action":{"TrafficSplit":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],
+              "Timeout":"1.2s","Attempts":2}},
+   {"Name":"r2","RouteType":"upload","TargetLatency":"500ms","Priority":1,"Match":{"PathPrefix":"/q/"},
+    "Action":{"Service":"s2","Timeout":"1500ms","Attempts":1}}]}],
+ "Clusters":[{"Name":"s1","HealthPath":"/health","MaxConnections":260,"Protocol":"h1","Tls":false},
+             {"Name":"s2","HealthPath":"/h","MaxConnections":200,"Protocol":"h1","Tls":false}]})";
+
+/// The valid document with the first \p from replaced by \p to.
+std::string changed(const std::string &from, const std::string &to)
+{
+    std::string text = valid;
+    const std::size_t at = text.find(from);
+    CHECK_TRUE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+void checkRefused(const std::string &text, const std::string &place)
+{
+    const auto document = platform::parseDocument(text);
+    CHECK_FALSE(document.ok());
+    STRCMP_CONTAINS(place.c_str(), std::string(document.status().message()).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(PlatformDocuments) {};
+
+TEST(PlatformDocuments, aValidOneIsReadIntoRoutesAndServices)
+{
+    const auto document = platform::parseDocument(valid);
+    CHECK_TRUE(document.ok());
+    LONGS_EQUAL(0x1c, document->version);
+    const Configuration &configuration = document->configuration;
+    LONGS_EQUAL(2, configuration.hostRoutes.size());
+    const HostRoute &first = configuration.hostRoutes[0];
+    CHECK_TRUE(first.kind == RequestKind::idempotent);
+    LONGS_EQUAL(1'200, first.timeout.count());
+    LONGS_EQUAL(90, first.destinations[0].weight);
+    CHECK_TRUE(configuration.hostRoutes[1].kind == RequestKind::single);
+    LONGS_EQUAL(15'000, configuration.callerLimits.idleTimeout.count());
+    STRCMP_EQUAL("/h", configuration.services[1].healthPath.c_str());
+}
+
+TEST(PlatformDocuments, eachInvalidCaseNamesItsPlace)
+{
+    checkRefused(std::string(valid).substr(0, 300), "document");
+    checkRefused(changed("\"Service\":\"s1\"", "\"Service\":\"s9\""), "s9");
+    checkRefused(changed("/q/", "/p/"), "routed twice");
+    checkRefused(changed("\"400ms\"", "\"61200ms\""), "TargetLatency");
+    checkRefused(changed("\"Attempts\":2", "\"Attempts\":0"), "Attempts");
+    checkRefused(changed("a.example", ""), "Hostname");
+    checkRefused(changed("\"safe\"", "\"odd\""), "RouteType");
+    checkRefused(changed("0000001c", "1c"), "Version");
+    checkRefused(changed("\"1.2s\"", "7"), "Timeout");
+    checkRefused(changed("\"Weight\":90", "\"Weight\":\"90\""), "Weight");
+    checkRefused(std::string(valid) + "x", "document");
+}
+
+TEST(PlatformDocuments, anObjectiveJustBelowAMinuteAboveTheTimeoutIsValid)
+{
+    CHECK_TRUE(platform::parseDocument(changed("\"400ms\"", "\"61199ms\"")).ok());
+}
+
+TEST(PlatformDocuments, timesHaveANumberAndAUnit)
+{
+    LONGS_EQUAL(1'500, platform::parseTime("1500ms")->count());
+    LONGS_EQUAL(2'500, platform::parseTime("2.5s")->count());
+    for (const char *text : { "", "5", "ms", "1m", "1.2.3s", "-1s" }) {
+        CHECK_FALSE(platform::parseTime(text).has_value());
+    }
+}
--- /dev/null
+++ b/test/correctness/TargetFeedOrders.cpp
@@ -0,0 +1,125 @@
+// What a member knows of the targets does not depend on the order in which it hears it.
+#include "TestSupport.h"
+#include "coordination/membership/TargetFeed.h"
+
+using namespace kumquat;
+
+namespace {
+
+constexpr Milliseconds lease { 6'000 };
+
+TargetRecord record(const char *name, std::uint64_t incarnation, std::uint64_t version,
+                    TargetState state, std::uint16_t port = 80)
+{
+    TargetRecord result;
+    result.name = name;
+    result.service = "s";
+    result.ip = "10.0.0.1";
+    result.port = port;
+    result.incarnation = incarnation;
+    result.version = version;
+    result.state = state;
+    return result;
+}
+
+TargetState stateOf(const TargetFeed &feed, const char *name)
+{
+    return feed.find(name)->state;
+}
+
+} // namespace
+
+TEST_GROUP(TargetFeedOrders)
+{
+    TargetFeed feed { lease };
+    test::VirtualClock clock;
+};
+
+TEST(TargetFeedOrders, aLateHeartbeatRevivesNobody)
+{
+    CHECK_TRUE(feed.take(record("a", 5, 9, TargetState::draining), clock.now));
+    CHECK_FALSE(feed.take(record("a", 5, 8, TargetState::ready), clock.now));
+    CHECK_FALSE(feed.take(record("a", 5, 10, TargetState::ready), clock.now));
+    CHECK_TRUE(stateOf(feed, "a") == TargetState::draining);
+    CHECK_TRUE(feed.take(record("a", 6, 1, TargetState::ready), clock.now));
+    CHECK_TRUE(stateOf(feed, "a") == TargetState::ready);
+}
+
+TEST(TargetFeedOrders, aLaterTargetAtTheAddressEndsTheEarlierOne)
+{
+    (void)feed.take(record("a", 5, 1, TargetState::ready), clock.now);
+    (void)feed.take(record("b", 7, 1, TargetState::ready), clock.now);
+    CHECK_TRUE(stateOf(feed, "a") == TargetState::gone);
+    // The heartbeat of the dead one was delayed on its way.
+    CHECK_FALSE(feed.take(record("a", 5, 2, TargetState::ready), clock.now));
+    CHECK_TRUE(stateOf(feed, "b") == TargetState::ready);
+}
+
+TEST(TargetFeedOrders, onlyNewsMovesTheCursor)
+{
+    (void)feed.take(record("a", 5, 1, TargetState::ready), clock.now);
+    const std::uint64_t cursor = feed.cursor();
+    CHECK_FALSE(feed.take(record("a", 5, 2, TargetState::ready), clock.now));
+    LONGS_EQUAL(cursor, feed.cursor());
+    LONGS_EQUAL(0, feed.itemsAfter(cursor).size());
+    LONGS_EQUAL(1, feed.itemsAfter(cursor - 1).size());
+}
+
+TEST(TargetFeedOrders, aTargetThatAnotherMemberHearsIsNotSilent)
+{
+    (void)feed.take(record("a", 5, 1, TargetState::ready), clock.now);
+    (void)feed.take(record("b", 5, 1, TargetState::ready, 81), clock.now);
+    clock.advance(lease);
+    feed.renew({ "a", 5, 4 }, clock.now);
+    clock.advance(Milliseconds(1));
+    CHECK_TRUE(feed.expire(clock.now));
+    for (const FeedItem &item : feed.itemsAfter(0)) {
+        CHECK_TRUE(item.silent == (item.record.name == "b"));
+    }
+    feed.renew({ "b", 5, 2 }, clock.now);
+    CHECK_FALSE(feed.itemsAfter(0)[1].silent);
+}
+
+TEST(TargetFeedOrders, aRenewalOfAnEarlierLifeCountsForNothing)
+{
+    (void)feed.take(record("a", 5, 1, TargetState::ready), clock.now);
+    clock.advance(lease + Milliseconds(1));
+    feed.renew({ "a", 4, 90 }, clock.now);
+    CHECK_TRUE(feed.expire(clock.now));
+}
+
+TEST(TargetFeedOrders, theDepartedAreForgottenInTheEnd)
+{
+    (void)feed.take(record("a", 5, 1, TargetState::gone), clock.now);
+    clock.advance(TargetFeed::goneRetention + Milliseconds(1));
+    (void)feed.expire(clock.now);
+    LONGS_EQUAL(0, feed.size());
+}
+
+TEST(TargetFeedOrders, aSuspicionIsNewsOnce)
+{
+    CHECK_TRUE(feed.suspect({ 1, "a", 5 }));
+    CHECK_FALSE(feed.suspect({ 1, "a", 5 }));
+    CHECK_TRUE(feed.suspect({ 1, "b", 5 }));
+    LONGS_EQUAL(2, feed.suspicionsAfter(0).size());
+}
+
+TEST(TargetFeedOrders, anyOrderOfOneLifeEndsAlike)
+{
+    const bool holds = rc::check([](const std::vector<unsigned> &steps) {
+        TargetFeed ownFeed { lease };
+        std::uint64_t latest = 0;
+        for (const unsigned step : steps) {
+            const std::uint64_t life = 1 + step % 3;
+            const std::uint64_t state = 1 + step / 3 % 3;
+            (void)ownFeed.take(record("a", life, 1, static_cast<TargetState>(state)),
+                               TimePoint(Seconds(1)));
+            latest = std::max(latest, 4 * life + state);
+        }
+        const TargetRecord *held = ownFeed.find("a");
+        const bool none = held == nullptr;
+        return none ? steps.empty()
+                    : 4 * held->incarnation + static_cast<std::uint64_t>(held->state) == latest;
+    });
+    test::checkProperty(holds, "the latest state of the latest life wins");
+}
--- /dev/null
+++ b/test/failure/GroupFounding.cpp
@@ -0,0 +1,137 @@
+// A group that its first members found alike, each on its own, and that grows to its voters.
+#include "failure/GroupWorld.h"
+
+#include <absl/strings/str_cat.h>
+
+using namespace kumquat;
+using namespace kumquat::test;
+
+namespace {
+
+WorldOptions foundedWorld(std::uint64_t seed)
+{
+    WorldOptions options;
+    options.seed = seed;
+    options.members = 5;
+    options.founders = 3;
+    options.voterGoal = 3;
+    options.startSpread = Milliseconds(2'000);
+    return options;
+}
+
+/// Runs until the group has its voters, or for a time that is far too long for it.
+void settle(GroupWorld &world)
+{
+    for (int wait = 0; wait < 400 && !world.isWhole(); ++wait) {
+        world.run(Milliseconds(50));
+    }
+}
+
+void changeThroughAll(GroupWorld &world, int round)
+{
+    for (int member = 0; member < world.size(); ++member) {
+        world.change(absl::StrCat("change-", round), world.highestAccepted(), member);
+    }
+    world.run(Milliseconds(300));
+}
+
+} // namespace
+
+TEST_GROUP(GroupFounding) {};
+
+TEST(GroupFounding, formsOneGroupWhicheverFounderIsLate)
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        GroupWorld world(foundedWorld(seed));
+        settle(world);
+        world.checkSettled();
+        STRCMP_EQUAL("", world.violation().c_str());
+        changeThroughAll(world, 1);
+        world.run(Seconds(2));
+        STRCMP_EQUAL("", world.violation().c_str());
+        CHECK_EQUAL(1U, world.highestAccepted());
+    }
+}
+
+TEST(GroupFounding, formsWithOneFounderMissing)
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        WorldOptions options = foundedWorld(seed);
+        options.startSpread = Milliseconds(0);
+        GroupWorld world(options);
+        world.crash(static_cast<int>(seed % 3));
+        settle(world);
+        changeThroughAll(world, 1);
+        world.run(Seconds(3));
+        CHECK_EQUAL(1U, world.highestAccepted());
+    }
+}
+
+// A founder that has lost its disk may not found again; another member takes its place.
+TEST(GroupFounding, aLostDiskIsReplacedAndNothingAcceptedIsMissing)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        GroupWorld world(foundedWorld(seed));
+        settle(world);
+        for (int round = 0; round < 6 && !world.violated(); ++round) {
+            changeThroughAll(world, round);
+            world.loseDisk(static_cast<int>((seed + static_cast<std::uint64_t>(round)) % 5));
+            world.run(Milliseconds(200));
+            settle(world);
+        }
+        world.healAll();
+        world.run(Seconds(10));
+        world.checkSettled();
+        STRCMP_EQUAL("", world.violation().c_str());
+        CHECK(world.acceptedChanges() >= 5);
+    }
+}
+
+// A voter that stays away is replaced by a member that waits; the group can then lose another.
+TEST(GroupFounding, aVoterThatStaysAwayIsReplaced)
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        GroupWorld world(foundedWorld(seed));
+        settle(world);
+        const int first = (world.leader() + 1) % 3;
+        world.crash(first);
+        world.run(Seconds(6));
+        world.crash((first + 1) % 3);
+        world.run(Seconds(6));
+        changeThroughAll(world, 1);
+        world.run(Seconds(3));
+        STRCMP_EQUAL("", world.violation().c_str());
+        CHECK_EQUAL(1U, world.highestAccepted());
+    }
+}
+
+TEST(GroupFounding, isCaughtWhenALostDiskKeepsItsIdentity)
+{
+    bool caught = false;
+    for (std::uint64_t seed = 1; seed <= 200 && !caught; ++seed) {
+        WorldOptions options = foundedWorld(seed);
+        options.members = 3;
+        options.keepIdentity = true;
+        options.loss = 0;
+        options.startSpread = Milliseconds(0);
+        GroupWorld world(options);
+        settle(world);
+        const int leader = world.leader();
+        const int witness = (leader + 1) % 3;
+        const int ignorant = (leader + 2) % 3;
+        world.isolate(ignorant, true);
+        world.change("accepted", 0, leader);
+        world.run(Milliseconds(200));
+        world.isolate(leader, true);
+        world.loseDiskNow(witness);
+        world.isolate(ignorant, false);
+        world.cut(ignorant, leader, true);
+        world.cut(leader, ignorant, true);
+        world.run(Seconds(10));
+        world.healAll();
+        world.run(Seconds(20));
+        world.checkSettled();
+        caught = world.violated();
+    }
+    CHECK(caught);
+}
--- a/test/failure/GroupWorld.cpp
+++ b/test/failure/GroupWorld.cpp
@@ -101,9 +101,17 @@
         if (options_.ignoreSyncs) {
             members_[static_cast<std::size_t>(member)].disk.ignoreSyncs();
         }
-        start(member);
+        if (options_.startSpread.count() > 0) {
+            const auto late
+                = randomBelow(random_, static_cast<std::size_t>(options_.startSpread.count()));
+            at(Milliseconds(late), [this, member] { start(member); });
+        } else {
+            start(member);
+        }
+    }
+    if (options_.founders == 0) {
+        (void)node(0)->form();
     }
-    (void)node(0)->form();
     run(Seconds(5));
 }
 
@@ -141,6 +149,7 @@
             options.peerAddresses.push_back(addressOf(other));
         }
     }
+    foundIfFirst(index, options);
     GroupNodeHooks hooks;
     hooks.now = [this] { return now_; };
     hooks.wallNow
@@ -169,6 +178,20 @@
     scheduleTick(index, generation);
 }
 
+// As on a platform: only a member's very first start may found the group, and addresses are names.
+void GroupWorld::foundIfFirst(int index, GroupNodeOptions &options)
+{
+    Member &member = members_[static_cast<std::size_t>(index)];
+    options.raft.voterGoal = static_cast<std::size_t>(options_.voterGoal);
+    if (options_.founders > 0) {
+        options.name = options.address;
+    }
+    for (int founder = 0; !member.startedBefore && founder < options_.founders; ++founder) {
+        options.founders.push_back(addressOf(founder));
+    }
+    member.startedBefore = true;
+}
+
 void GroupWorld::scheduleTick(int index, int generation)
 {
     at(tickInterval, [this, index, generation] {
@@ -296,8 +319,23 @@
     }
 }
 
+bool GroupWorld::hasVoterGoal() const
+{
+    int voting = 0;
+    for (const Member &member : members_) {
+        if (!member.node || member.frozen || member.node->raft().epoch() == 0) {
+            return false;
+        }
+        voting += member.node->isVoter() ? 1 : 0;
+    }
+    return voting == options_.voterGoal;
+}
+
 bool GroupWorld::isWhole() const
 {
+    if (options_.voterGoal > 0) {
+        return hasVoterGoal();
+    }
     for (const Member &member : members_) {
         if (!member.node || member.frozen || !member.node->isVoter()
             || member.node->raft().members().size() != members_.size()) {
--- a/test/failure/GroupWorld.h
+++ b/test/failure/GroupWorld.h
@@ -47,6 +47,9 @@
     double loss = 0.02;
     double duplicates = 0.02;
     std::uint64_t snapshotEvery = 40;
+    int founders = 0; ///< the first members found the group; 0: one member forms it
+    int voterGoal = 0; ///< 0: every member votes
+    Milliseconds startSpread { 0 }; ///< members start within it, in any order
 };
 
 class GroupWorld
@@ -92,6 +95,7 @@
         FaultyDisk disk;
         std::unique_ptr<GroupNode> node;
         int generation = 0; ///< of the process; events of an ended one are dropped
+        bool startedBefore = false;
         bool frozen = false;
         std::vector<std::function<void()>> heldBack; ///< by a freeze
     };
@@ -110,6 +114,8 @@
     void toMember(int member, int generation, std::function<void()> action);
     void deliver(int from, const std::string &address, const RaftMessage &message);
     void start(int member);
+    void foundIfFirst(int member, GroupNodeOptions &options);
+    bool hasVoterGoal() const;
     void scheduleTick(int member, int generation);
     GroupNode *node(int member) { return members_[static_cast<std::size_t>(member)].node.get(); }
     void propose(int through, ControlCommand command, GroupNode::Done done);
