Write the log to standard output as a JSON object a line, bounded by kind

Cause: on-call engineers have only logs and metrics, and lines were free text on standard error without a bound. Change: words key=value at a text's beginning become members; 200 lines a second of a kind pass, the rest is counted.

--- a/include/kumquat/Event.h
+++ b/include/kumquat/Event.h
@@ -51,7 +51,8 @@
 
 enum class LogLevel { info, warning, error };
 
-/// Starts asynchronous logging to standard error; call once, first thing in main().
+/// Starts asynchronous logging to standard output, a JSON object a line; call once, first thing
+/// in main().
 void startLogging(const std::string &processName);
 
 /// Writes what is still queued and stops the log's thread.
@@ -59,7 +60,8 @@
 
 void writeEvent(Event event, LogLevel level, const std::string &text);
 
-/// Logs \p event as one line: time, level, process, event number, text.
+/// Logs \p event as one line. Words `key=value` at the text's beginning become members of it;
+/// a kind that comes too often is cut down and counted.
 template <typename... Args>
 void logEvent(Event event, LogLevel level, const char *format, const Args &...args)
 {
--- a/src/common/Event.cpp
+++ b/src/common/Event.cpp
@@ -1,8 +1,10 @@
 #include "kumquat/Event.h"
 
+#include "common/LogLine.h"
+
 #include <memory>
 #include <spdlog/async.h>
-#include <spdlog/sinks/stdout_color_sinks.h>
+#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 namespace kumquat {
@@ -29,11 +31,12 @@
 void startLogging(const std::string &processName)
 {
     spdlog::init_thread_pool(queueLength, 1);
-    auto sink = std::make_shared<spdlog::sinks::stderr_color_sink_mt>();
+    auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
     // An event loop must never wait for a slow terminal, so the oldest lines give way.
     auto logger = std::make_shared<spdlog::async_logger>(
         processName, sink, spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
-    logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %n %v");
+    logger->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%e\",\"level\":\"%l\",\"process\":\"%n\",%v}");
+    logger->flush_on(spdlog::level::warn);
     spdlog::set_default_logger(logger);
 }
 
@@ -47,7 +50,17 @@
     if (spdlog::default_logger_raw() == nullptr) {
         return;
     }
-    spdlog::log(spdlogLevel(level), "event={} {}", static_cast<int>(event), text);
+    static LogLimiter limiter;
+    const int number = static_cast<int>(event);
+    const LogLimiter::Verdict verdict = limiter.admit(number, Clock::now());
+    if (!verdict.passes) {
+        return;
+    }
+    std::string members = logMembers(number, text);
+    if (verdict.droppedBefore > 0) {
+        members += fmt::format(",\"dropped\":{}", verdict.droppedBefore);
+    }
+    spdlog::log(spdlogLevel(level), "{}", members);
 }
 
 } // namespace kumquat
--- /dev/null
+++ b/test/correctness/LogLines.cpp
@@ -0,0 +1,53 @@
+// Each line of the log is one JSON object, and a flood of one kind is bounded and counted.
+#include "TestSupport.h"
+#include "common/JsonReader.h"
+#include "common/LogLine.h"
+
+using namespace kumquat;
+
+namespace {
+
+Json::Value parsed(const std::string &text)
+{
+    const auto value
+        = parseJson("line", "{" + logMembers(330, text) + "}", ErrorKind::badMessage);
+    CHECK_TRUE(value.ok());
+    return *value;
+}
+
+} // namespace
+
+TEST_GROUP(LogLines) {};
+
+TEST(LogLines, keysBecomeMembersAndTheRestStaysText)
+{
+    const Json::Value line = parsed("request=9c41 ms=12 because the queue=full");
+    LONGS_EQUAL(330, line["event"].asInt());
+    STRCMP_EQUAL("9c41", line["request"].asCString());
+    STRCMP_EQUAL("12", line["ms"].asCString());
+    STRCMP_EQUAL("because the queue=full", line["text"].asCString());
+    CHECK_FALSE(line.isMember("queue"));
+}
+
+TEST(LogLines, whatACallerSendsCannotBreakALine)
+{
+    const Json::Value line = parsed("request=\"},{\"a\":1 \n\t\x01 x");
+    STRCMP_EQUAL("\"},{\"a\":1", line["request"].asCString());
+}
+
+TEST(LogLines, aFloodOfOneKindIsBoundedAndCounted)
+{
+    LogLimiter limiter;
+    test::VirtualClock clock;
+    int passed = 0;
+    constexpr int flood = 10'000;
+    for (int i = 0; i < flood; ++i) {
+        passed += limiter.admit(330, clock.now).passes ? 1 : 0;
+    }
+    LONGS_EQUAL(LogLimiter::linesPerSecond, passed);
+    CHECK_TRUE(limiter.admit(331, clock.now).passes);
+    clock.advance(Seconds(1));
+    const LogLimiter::Verdict next = limiter.admit(330, clock.now);
+    CHECK_TRUE(next.passes);
+    LONGS_EQUAL(flood - LogLimiter::linesPerSecond, next.droppedBefore);
+}
