--- /dev/null
+++ b/test/processes/test_platform.py
@@ -0,0 +1,113 @@
+"""Whole processes in the platform's formats: the path, documents, departures, losses."""
+
+import json
+import os
+import signal
+import unittest
+
+from platform_fleet import Callers, PlatformFleet, document
+from support import wait_until
+
+PROMISES = (408, 421, 429, 503)
+
+
+class Platform(unittest.TestCase):
+    def setUp(self):
+        self.fleet = PlatformFleet()
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+
+    def check_runs(self, told):
+        """No sending ran twice, and none ran that was told that it had not."""
+        runs = self.fleet.report()["runs"]
+        for sending, status in told:
+            if sending:
+                self.assertLessEqual(runs.get(sending, 0), 1)
+                if status in PROMISES:
+                    self.assertEqual(runs.get(sending, 0), 0)
+
+    def test_answers_are_the_targets_own(self):
+        status, headers, data, sending = self.fleet.request(0, "/lookup/stock?size=70000")
+        self.assertEqual(status, 200)
+        self.assertEqual(headers["Kumquatdeal-Request-Id"], sending)
+        self.assertIn("Kumquatdeal-Response-Stamp", headers)
+        self.assertEqual(len(data), 70000)
+        self.assertEqual(self.fleet.request(1, "/nowhere/x")[0], 404)
+        body = b"d" * 300_000
+        status, _, data, _ = self.fleet.request(1, "/book/drawing", "POST", body)
+        self.assertEqual((status, json.loads(data)["received"]), (200, len(body)))
+
+    def test_the_highest_document_wins_and_invalid_ones_are_refused(self):
+        moved = document(5, (("/lookup/", "safe", "catalogue"), ("/fresh/", "safe", "orders")))
+        self.fleet.put(moved)
+        wait_until(lambda: self.fleet.request(0, "/fresh/x")[0] == 200, 4, "the new route")
+        self.assertEqual(self.fleet.try_put(document(2)), 200)
+        self.assertEqual(self.fleet.try_put(document(5)), 200)
+        self.assertEqual(self.fleet.try_put(json.dumps(document(9))[:-40]), 400)
+        self.assertEqual(self.fleet.try_put(document(9, (("/a/", "safe", "nobody"),))), 400)
+        for member in range(3):
+            self.assertEqual(self.fleet.read(member), moved)
+        self.assertEqual(self.fleet.request(0, "/book/x", "POST")[0], 404)
+
+    def test_an_acknowledged_departure_ends_new_work(self):
+        body = self.fleet.call(self.fleet.admin, "GET", "/drain/catalogue-0")
+        self.assertEqual(body[0], 200)
+        served = self.fleet.report()["targets"]["catalogue-0"]["served"]
+        for i in range(60):
+            self.assertEqual(self.fleet.request(i % 2, "/lookup/x")[0], 200)
+        self.assertEqual(self.fleet.report()["targets"]["catalogue-0"]["served"], served)
+
+    def test_a_planned_stop_cuts_no_request(self):
+        self.fleet.behave("orders", meanWorkMs=200)
+        callers = [Callers(self.fleet, 0) for _ in range(4)]
+        wait_until(lambda: all(len(c.told) > 2 for c in callers), 10, "bookings")
+        self.fleet.processes["entry-0"].signal(signal.SIGTERM)
+        self.assertEqual(self.fleet.processes["entry-0"].stop(), 0)
+        told = [item for caller in callers for item in caller.finish()]
+        # After the listeners have closed, a connection is refused; none is cut in the middle.
+        log = open(self.fleet.processes["entry-0"].log).read()
+        self.assertIn('"event":102', log)
+        self.check_runs(told)
+        self.assertTrue(all(status in (0, 200) + PROMISES for _, status in told))
+
+    def test_all_members_killed_at_once_keep_what_they_acknowledged(self):
+        self.fleet.put(document(7))
+        callers = Callers(self.fleet, 1)
+        for i in range(3):
+            self.fleet.processes[f"control-{i}"].kill()
+        for i in range(3):
+            self.fleet.start_control(i)
+        wait_until(lambda: self.fleet.read(0) == document(7), 10, "the document")
+        self.fleet.put(document(8))
+        self.check_runs(callers.finish())
+
+    def test_disks_lost_one_after_another_lose_nothing(self):
+        self.fleet.put(document(7))
+        for lost in range(3):
+            self.fleet.wipe(lost)
+            wait_until(lambda: self.voters() == 3, 15, "the member to vote again")
+            self.assertEqual(self.fleet.read(lost), document(7))
+
+    def voters(self):
+        """The number of voters, when every member sees the same."""
+        views = []
+        for address in self.fleet.controls:
+            dump = json.loads(self.fleet.call(address, "GET", "/kumquat/v1/dump")[2])
+            views.append(sorted(m["address"] for m in dump["members"] if m["voter"]))
+            if not dump["voter"]:
+                return 0
+        return len(views[0]) if all(view == views[0] for view in views) else 0
+
+    def test_bad_settings_end_the_start_with_code_2(self):
+        path = os.path.join(self.fleet.folder, "bad.json")
+        with open(path, "w") as file:
+            file.write('{ "name": "x", "controlSeeds": ["nowhere"] }')
+        import subprocess
+        done = subprocess.run([os.path.join(self.fleet.build, "kumquat-entry"), "--settings", path],
+                              capture_output=True, text=True, timeout=10)
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("callerAddress", done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/standin/Main.cpp
+++ b/tools/standin/Main.cpp
@@ -4,6 +4,7 @@
 #include "common/JsonReader.h"
 #include "common/Program.h"
 #include "kumquat/Event.h"
+#include "platform/Target.h"
 #include "protocol/Announcement.h"
 #include "protocol/Wire.h"
 #include "transport/HttpClient.h"
@@ -17,7 +18,8 @@
 
 DEFINE_string(services, "catalogue:20:2,orders:10:2,drawings:6:2",
               "services as NAME:TARGETS:SLOTS, with commas between");
-DEFINE_string(entries, "", "internal addresses of the entries, with commas between");
+DEFINE_string(entries, "", "addresses that take announcements, with commas between");
+DEFINE_bool(platform, false, "speak as the targets of the platform do");
 DEFINE_string(domains, "a,b,c", "failure domains that the targets are spread over");
 DEFINE_int32(first_port, 20000, "port of the first target");
 DEFINE_string(admin, "127.0.0.1:19999", "address of the admin port");
@@ -73,6 +75,9 @@
     behaviour.meanWorkMs = FLAGS_work_ms;
     targets_.push_back(std::make_unique<StandinTarget>(context_, record, behaviour, ledger_,
                                                        FLAGS_seed + targets_.size()));
+    if (FLAGS_platform) {
+        targets_.back()->speakPlatform();
+    }
     return targets_.back()->listen();
 }
 
@@ -108,7 +113,8 @@
 {
     ++target.record().version;
     HttpRequest request(http::verb::put, wire::targetsPath + target.record().name, 11);
-    request.body() = writeAnnouncement(target.record());
+    request.body() = FLAGS_platform ? platform::writeHeartbeat(target.record())
+                                    : writeAnnouncement(target.record());
     const auto answer
         = client_.send(entries_[entry % entries_.size()], std::move(request), announceTime, yield);
     return answer.ok() && answer->result() == http::status::ok;
--- a/tools/standin/StandinTarget.cpp
+++ b/tools/standin/StandinTarget.cpp
@@ -1,5 +1,6 @@
 #include "StandinTarget.h"
 
+#include "platform/Target.h"
 #include "protocol/Wire.h"
 #include "transport/Spawn.h"
 
@@ -171,10 +172,20 @@
     return response;
 }
 
-bool StandinTarget::write(Connection &connection, HttpResponse response, Yield yield)
+void StandinTarget::sign(const http::request_header<> &header, HttpResponse &response)
 {
     const int reported = static_cast<int>(inFlight() * behaviour_.lieFactor);
-    response.set(wire::load, absl::StrCat("inflight=", reported, ";slots=", behaviour_.slots));
+    if (platform_) {
+        platform::signAnswer(response, record_, { reported, behaviour_.slots, 100 }, header);
+    } else {
+        response.set(wire::load, absl::StrCat("inflight=", reported, ";slots=", behaviour_.slots));
+    }
+}
+
+bool StandinTarget::write(Connection &connection, const http::request_header<> &header,
+                          HttpResponse response, Yield yield)
+{
+    sign(header, response);
     response.keep_alive(true);
     response.prepare_payload();
     ErrorCode error;
@@ -208,7 +219,7 @@
         const auto status
             = behaviour_.healthFails ? http::status::service_unavailable : http::status::ok;
         return readBody(connection, parser, bytes, yield)
-            && write(connection, textResponse(status, "{}"), yield);
+            && write(connection, header, textResponse(status, "{}"), yield);
     }
     if (!readBody(connection, parser, bytes, yield)) {
         return false;
@@ -217,22 +228,32 @@
         pauseFor(context_, idleTime, yield);
         return false;
     }
+    if (platform_ && platform::isMisdirected(header, record_)) {
+        return write(connection, header, textResponse(http::status::misdirected_request, "{}"),
+                     yield);
+    }
     peak_ = std::max(peak_, inFlight() + 1);
     if (std::uniform_real_distribution<double>()(random_) < behaviour_.failShare) {
-        return write(connection, textResponse(http::status::internal_server_error, "{}"), yield);
+        return write(connection, header, textResponse(http::status::internal_server_error, "{}"),
+                     yield);
     }
     if (!takeSlot(yield)) {
         ++sheds_;
         HttpResponse shed = textResponse(http::status::service_unavailable, "{}");
-        shed.set(wire::shed, "not-run");
-        return write(connection, std::move(shed), yield);
+        if (platform_) {
+            platform::markNotRun(shed);
+        } else {
+            shed.set(wire::shed, "not-run");
+        }
+        return write(connection, header, std::move(shed), yield);
     }
     if (behaviour_.crashOnPoison && target.find("/poison") != std::string::npos) {
         releaseSlot();
         crash();
         return false;
     }
-    const std::string key(header[wire::idempotencyKey]);
+    const std::string key = platform_ ? platform::sendingId(header)
+                                      : std::string(header[wire::idempotencyKey]);
     if (!key.empty()) {
         ++ledger_.runs[key];
     }
@@ -243,8 +264,11 @@
     pauseFor(context_, workTime(target), yield);
     ++served_;
     HttpResponse response = answerTo(header, bytes);
+    if (platform_) {
+        platform::stampAnswer(response, absl::StrCat(record_.name, ".", served_));
+    }
     releaseSlot();
-    return write(connection, std::move(response), yield);
+    return write(connection, header, std::move(response), yield);
 }
 
 } // namespace kumquat::standin
--- a/tools/standin/StandinTarget.h
+++ b/tools/standin/StandinTarget.h
@@ -38,6 +38,9 @@
     std::uint64_t probes() const { return probes_; }
     std::uint64_t crashes() const { return crashes_; }
 
+    /// Speaks as targets of the platform do.
+    void speakPlatform() { platform_ = true; }
+
     /// Marks the connections that are open now as silent for good; new ones work.
     void silenceOpenConnections();
 
@@ -59,7 +62,9 @@
     void releaseSlot();
     Microseconds workTime(const std::string &target);
     HttpResponse answerTo(const http::request_header<> &header, std::uint64_t bodyBytes);
-    bool write(Connection &connection, HttpResponse response, Yield yield);
+    bool write(Connection &connection, const http::request_header<> &header, HttpResponse response,
+               Yield yield);
+    void sign(const http::request_header<> &header, HttpResponse &response);
     void crash();
 
     asio::io_context &context_;
@@ -79,6 +84,7 @@
     TimePoint shiftUntil_;
     TimePoint nextShift_;
     bool crashed_ = false;
+    bool platform_ = false;
 };
 
 } // namespace kumquat::standin
