--- a/test/fuzz/CallerRequest.cpp
+++ b/test/fuzz/CallerRequest.cpp
@@ -1,5 +1,6 @@
 // Any bytes as a caller's request header: parsed or refused, never a crash.
 #include "protocol/Headers.h"
+#include "protocol/Wire.h"
 #include "transport/Asio.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
@@ -11,7 +12,7 @@
     parser.put(asio::buffer(data, size), error);
     if (parser.is_header_done()) {
         http::request_header<> header = parser.get();
-        (void)readDeadline(header);
+        (void)readDeadline(header, wire::deadline);
         (void)readLoadReport(header);
         (void)isValidIdempotencyKey(std::string(header["Idempotency-Key"]));
         removeHopByHop(header);
--- a/tools/standin/StandinTarget.cpp
+++ b/tools/standin/StandinTarget.cpp
@@ -252,8 +252,8 @@
         crash();
         return false;
     }
-    const std::string key = platform_ ? platform::sendingId(header)
-                                      : std::string(header[wire::idempotencyKey]);
+    const std::string key
+        = platform_ ? platform::sendingId(header) : std::string(header[wire::idempotencyKey]);
     if (!key.empty()) {
         ++ledger_.runs[key];
     }
