--- a/include/kumquat/Placement.h
+++ b/include/kumquat/Placement.h
@@ -44,6 +44,10 @@
 /// moment.
 bool isWorthWaiting(double slowness, const PlacementTime &time, std::chrono::microseconds horizon);
 
+/// When a refused caller should come back: soon enough that its objective can still be met, and
+/// spread, so that the refused of one burst do not return together.
+std::chrono::milliseconds returnAfter(std::chrono::milliseconds objective, std::uint64_t random);
+
 /// Positions of the \p count views most worth asking for a fresh report, the best first; those
 /// whose report is fresh anyway are left out. \p random breaks ties.
 std::vector<std::size_t> worthAsking(const std::vector<PlacementView> &views, std::size_t count,
--- a/src/coordination/entry/RoutedCall.cpp
+++ b/src/coordination/entry/RoutedCall.cpp
@@ -409,8 +409,13 @@
              request_.sendingId, route_.name, service_.configuration.name, request_.version.number,
              refusalReasonName(reason), ran ? "unknown" : "no", sendings_,
              static_cast<int>(toMilliseconds(Clock::now() - request_.arrival)));
-    (void)request_.caller.writeWhole(
-        refusal(reason, ran ? RunOutcome::unknown : RunOutcome::notRun), yield);
+    HttpResponse response = refusal(reason, ran ? RunOutcome::unknown : RunOutcome::notRun);
+    if (!ran && response.count(http::field::retry_after) > 0) {
+        const auto pause
+            = returnAfter(route_.latencyObjective, request_.worker.random());
+        response.set(http::field::retry_after, secondsText(pause));
+    }
+    (void)request_.caller.writeWhole(std::move(response), yield);
 }
 
 // A target's own failure is passed on as it is, unless its status would promise what is not so.
--- a/src/coordination/policy/Placement.cpp
+++ b/src/coordination/policy/Placement.cpp
@@ -25,6 +25,9 @@
 constexpr Microseconds freshReport { 5'000 };
 /// Reports older than this prove nothing of free slots.
 constexpr Microseconds believedReport { 60'000 };
+/// A refused caller comes back between these parts of its objective.
+constexpr int earliestReturnParts = 10;
+constexpr int latestReturnParts = 4;
 /// Views within this of the best are as good.
 constexpr double asGood = 1.05;
 
@@ -76,6 +79,14 @@
         && work * nearlyFullSlowdown + static_cast<double>(horizon.count()) < left;
 }
 
+std::chrono::milliseconds returnAfter(std::chrono::milliseconds objective, std::uint64_t random)
+{
+    const std::chrono::milliseconds least = objective / earliestReturnParts;
+    const std::chrono::milliseconds most = objective / latestReturnParts;
+    const auto spread = static_cast<std::uint64_t>((most - least).count() + 1);
+    return least + std::chrono::milliseconds(static_cast<std::int64_t>(random % spread));
+}
+
 std::vector<std::size_t> worthAsking(const std::vector<PlacementView> &views, std::size_t count,
                                      std::uint64_t random)
 {
--- a/src/protocol/Refusal.cpp
+++ b/src/protocol/Refusal.cpp
@@ -3,6 +3,7 @@
 #include "protocol/Wire.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 
 namespace kumquat {
 
@@ -67,4 +68,11 @@
     return response;
 }
 
+std::string secondsText(Milliseconds pause)
+{
+    constexpr int millisecondsPerSecond = 1'000;
+    return absl::StrFormat("%d.%03d", pause.count() / millisecondsPerSecond,
+                           pause.count() % millisecondsPerSecond);
+}
+
 } // namespace kumquat
--- a/test/correctness/PlacementChoices.cpp
+++ b/test/correctness/PlacementChoices.cpp
@@ -86,6 +86,17 @@
     LONGS_EQUAL(1, asked[0]);
 }
 
+TEST(PlacementChoices, theRefusedComeBackSpreadAndInTime)
+{
+    constexpr Milliseconds objective { 400 };
+    std::set<Milliseconds> times;
+    for (std::uint64_t random = 0; random < 1'000; ++random) {
+        times.insert(returnAfter(objective, random));
+    }
+    CHECK_TRUE(*times.begin() >= objective / 10 && *times.rbegin() <= objective / 4);
+    CHECK_TRUE(times.size() > 50);
+}
+
 TEST(PlacementChoices, onlyARequestThatAQuickTargetCanStillServeInTimeWaits)
 {
     const PlacementTime early { Milliseconds(100), Milliseconds(300) };
