Entries tell one another what targets report

Cause: in bursts the budget of questions runs dry and placements go by reports that are tens of milliseconds old. Ruled out: more questions (45 and 55 a target and second give the same, 60 is the bound). Change: every 20 ms an entry sends what it has heard since to eight others at the most, by datagram; entries learn of one another through the feed, which names them only when they change.

--- a/src/coordination/control/TargetRegistry.cpp
+++ b/src/coordination/control/TargetRegistry.cpp
@@ -7,6 +7,8 @@
 #include "protocol/Wire.h"
 #include "transport/Spawn.h"
 
+#include <xxhash.h>
+
 namespace kumquat {
 
 namespace {
@@ -134,6 +136,7 @@
         follower.life = poll.subscriberLife;
     }
     follower.member = poll.member;
+    follower.reportAddress = poll.reportAddress;
     follower.heardAt = Clock::now();
     follower.acknowledged = poll.feedLife == life_ ? poll.cursor : 0;
     return follower;
@@ -182,11 +185,29 @@
         follower.renewedAt = now;
     }
     answer.members = hooks_.members();
+    nameEntries(poll, answer);
+    return answer;
+}
+
+void TargetRegistry::nameEntries(const FeedPoll &poll, FeedAnswer &answer) const
+{
+    const TimePoint now = Clock::now();
+    std::string all;
     for (const auto &entry : followers_) {
-        const bool live = now - entry.second.heardAt < followerLife;
-        answer.entries += live && !entry.second.member ? 1 : 0;
+        const Follower &follower = entry.second;
+        if (follower.member || now - follower.heardAt >= followerLife) {
+            continue;
+        }
+        ++answer.entries;
+        if (!follower.reportAddress.empty()) {
+            answer.reportAddresses.push_back(follower.reportAddress);
+            all += follower.reportAddress + ' ';
+        }
+    }
+    answer.entriesHash = XXH64(all.data(), all.size(), 1);
+    if (poll.member || poll.entriesKnown == answer.entriesHash) {
+        answer.reportAddresses.clear();
     }
-    return answer;
 }
 
 void TargetRegistry::take(const FeedAnswer &answer)
--- a/src/coordination/control/TargetRegistry.h
+++ b/src/coordination/control/TargetRegistry.h
@@ -57,6 +57,7 @@
         std::uint64_t life = 0;
         std::uint64_t acknowledged = 0; ///< cursor of this feed
         bool member = false;
+        std::string reportAddress;
         TimePoint heardAt;
         TimePoint renewedAt;
     };
@@ -66,6 +67,7 @@
     bool majorityKnows(std::uint64_t cursor) const;
     bool entriesKnow(std::uint64_t cursor, TimePoint now) const;
     Follower &noteFollower(const FeedPoll &poll);
+    void nameEntries(const FeedPoll &poll, FeedAnswer &answer) const;
     FeedAnswer answerTo(const FeedPoll &poll, Follower &follower);
     void waitForNews(const FeedPoll &poll, std::uint64_t known, Yield yield);
 
--- a/src/coordination/entry/EntryCoordinator.cpp
+++ b/src/coordination/entry/EntryCoordinator.cpp
@@ -121,6 +121,10 @@
 absl::Status EntryCoordinator::open()
 {
     if (followsFeed()) {
+        const absl::Status sharing = openSharing();
+        if (!sharing.ok()) {
+            return sharing;
+        }
         return server_->listen(*parseAddress(settings_.internalAddress));
     }
     const absl::Status bound
@@ -137,6 +141,9 @@
     spawnOn(loop_, [this](Yield yield) { tickForever(yield); });
     if (followsFeed()) {
         feed_->setSeeds(settings_.controlSeeds);
+        if (sharing_) {
+            spawnOn(loop_, [this](Yield yield) { shareForever(yield); });
+        }
     } else {
         spawnOn(loop_, [this](Yield yield) { followConfiguration(yield); });
     }
@@ -483,6 +490,9 @@
         table->services.push_back(activeService(service, now));
     }
     publishHostRoutes(*table);
+    if (sharing_) {
+        sharing_->setTargets(*table);
+    }
     core_.routing.publish(table);
     for (const auto &service : table->services) {
         service->runtime->wakeOne();
--- a/src/coordination/entry/EntryCoordinator.h
+++ b/src/coordination/entry/EntryCoordinator.h
@@ -6,6 +6,7 @@
 #include "common/FileWatch.h"
 #include "coordination/control/ControlClient.h"
 #include "coordination/entry/EntryCore.h"
+#include "coordination/entry/LoadSharing.h"
 #include "coordination/membership/ControlFeed.h"
 #include "coordination/membership/Gossip.h"
 #include "coordination/policy/OutlierEjection.h"
@@ -63,6 +64,9 @@
     void takeFeed(const std::string &member, const FeedAnswer &answer);
     void takeFeedItem(const std::string &member, const FeedItem &item);
     void noteReachability(const std::string &member, bool reachable);
+    absl::Status openSharing();
+    void shareForever(Yield yield);
+    void takePeers(const FeedAnswer &answer);
     bool followsFeed() const { return feed_ != nullptr; }
     std::size_t liveEntries() const;
     void refreshAfterFreeze(TimePoint now);
@@ -94,6 +98,7 @@
     std::unique_ptr<Gossip> gossip_;
     std::unique_ptr<ControlFeed> feed_; ///< null when targets announce themselves here
     std::map<std::string, std::set<std::string>> silentAt_; ///< targets, by member
+    std::unique_ptr<LoadSharing> sharing_; ///< null without an address for reports
     std::deque<HeldSuspicion> suspicions_; ///< of this entry, to be told to the members
     std::map<std::string, std::uint32_t> entriesAt_; ///< entries that follow each member
     std::map<std::string, std::shared_ptr<RouteRuntime>> routeRuntimes_;
--- a/src/coordination/entry/EntryFeed.cpp
+++ b/src/coordination/entry/EntryFeed.cpp
@@ -36,8 +36,44 @@
     feed_ = std::make_unique<ControlFeed>(loop_, authenticator_, options, std::move(hooks));
 }
 
+absl::Status EntryCoordinator::openSharing()
+{
+    if (settings_.reportAddress.empty()) {
+        return absl::OkStatus();
+    }
+    sharing_ = std::make_unique<LoadSharing>(
+        [this](const Address &to, const std::string &payload) { datagrams_.send(to, payload); },
+        randomSeed());
+    return datagrams_.open(*parseAddress(settings_.reportAddress), [this](const std::string &text) {
+        sharing_->receive(text, Clock::now());
+    });
+}
+
+void EntryCoordinator::shareForever(Yield yield)
+{
+    while (true) {
+        pauseFor(loop_, LoadSharing::interval, yield);
+        sharing_->tell(Clock::now());
+    }
+}
+
+void EntryCoordinator::takePeers(const FeedAnswer &answer)
+{
+    std::vector<Address> peers;
+    for (const std::string &text : answer.reportAddresses) {
+        const auto address = parseAddress(text);
+        if (address.ok() && text != settings_.reportAddress) {
+            peers.push_back(*address);
+        }
+    }
+    if (sharing_ && !peers.empty()) {
+        sharing_->setPeers(std::move(peers));
+    }
+}
+
 void EntryCoordinator::fillPoll(FeedPoll &poll)
 {
+    poll.reportAddress = settings_.reportAddress;
     poll.epoch = version_.epoch;
     poll.number = version_.number;
     // Each is told to every member, which knows it from the first time; after that it is dropped.
@@ -65,6 +101,7 @@
 {
     const std::size_t entriesBefore = liveEntries();
     entriesAt_[member] = answer.entries;
+    takePeers(answer);
     for (const FeedSuspicion &suspicion : answer.suspicions) {
         suspectRequest({ suspicion.fingerprint, suspicion.target });
     }
--- /dev/null
+++ b/src/coordination/entry/LoadSharing.cpp
@@ -0,0 +1,82 @@
+#include "coordination/entry/LoadSharing.h"
+
+#include "protocol/Codec.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace kumquat {
+
+namespace {
+
+/// Reports that fit into a datagram of common size.
+constexpr std::size_t maxReports = 60;
+
+std::uint64_t hashOf(const std::string &name)
+{
+    return XXH64(name.data(), name.size(), 0);
+}
+
+} // namespace
+
+void LoadSharing::setTargets(const RoutingTable &table)
+{
+    targets_.clear();
+    for (const auto &service : table.services) {
+        for (const TargetPtr &target : service->targets) {
+            targets_[hashOf(target->record.name)] = target->stats;
+        }
+    }
+}
+
+void LoadSharing::tell(TimePoint now)
+{
+    SharedReports batch;
+    for (const auto &entry : targets_) {
+        const TargetStats &stats = *entry.second;
+        const TimePoint heardAt = stats.heardItselfAt();
+        if (heardAt <= toldAt_ || batch.reports.size() == maxReports) {
+            continue;
+        }
+        constexpr double percent = 100;
+        SharedReport report;
+        report.target = entry.first;
+        report.ageMs = static_cast<std::uint32_t>(toMilliseconds(now - heardAt));
+        report.inFlight = static_cast<std::uint16_t>(stats.reportedInFlight());
+        report.pacePercent = static_cast<std::uint16_t>(stats.reportedPace() * percent);
+        batch.reports.push_back(report);
+    }
+    toldAt_ = now;
+    if (!batch.reports.empty()) {
+        sendBatch(batch);
+    }
+}
+
+void LoadSharing::sendBatch(const SharedReports &batch)
+{
+    const std::string payload = pack(batch);
+    std::shuffle(peers_.begin(), peers_.end(), random_);
+    for (std::size_t i = 0; i < std::min(fanOut, peers_.size()); ++i) {
+        send_(peers_[i], payload);
+    }
+    told_ += batch.reports.size();
+}
+
+void LoadSharing::receive(const std::string &payload, TimePoint now)
+{
+    const auto batch = unpack<SharedReports>(payload);
+    if (!batch.ok()) {
+        return;
+    }
+    for (const SharedReport &report : batch->reports) {
+        const auto target = targets_.find(report.target);
+        if (target != targets_.end()) {
+            LoadReport load;
+            load.inFlight = report.inFlight;
+            load.pacePercent = report.pacePercent;
+            target->second->recordHearsay(load, now - Milliseconds(report.ageMs));
+        }
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/entry/LoadSharing.h
@@ -0,0 +1,50 @@
+#pragma once
+/// \file
+/// Tells the other entries what targets have told this one, and takes what they tell.
+/// Reports go in batches to a bounded number of peers, so that the cost of an entry does not grow.
+
+#include "coordination/entry/RoutingTable.h"
+#include "protocol/LoadGossip.h"
+#include "transport/DatagramSocket.h"
+
+#include <unordered_map>
+
+namespace kumquat {
+
+class LoadSharing
+{
+public:
+    /// Between two batches.
+    static constexpr Milliseconds interval { 20 };
+    /// Peers that get a batch; more entries than that take turns by chance.
+    static constexpr std::size_t fanOut = 8;
+
+    using Send = std::function<void(const Address &, const std::string &payload)>;
+
+    LoadSharing(Send send, std::uint64_t seed) : send_(std::move(send)), random_(seed) { }
+
+    /// The addresses of the other entries.
+    void setPeers(std::vector<Address> peers) { peers_ = std::move(peers); }
+
+    /// The targets in use; to be called when a routing table is published.
+    void setTargets(const RoutingTable &table);
+
+    /// Sends what this entry has heard since the last call.
+    void tell(TimePoint now);
+
+    void receive(const std::string &payload, TimePoint now);
+
+    std::uint64_t told() const { return told_; }
+
+private:
+    void sendBatch(const SharedReports &batch);
+
+    Send send_;
+    Random random_;
+    std::vector<Address> peers_;
+    std::unordered_map<std::uint64_t, std::shared_ptr<TargetStats>> targets_;
+    TimePoint toldAt_;
+    std::uint64_t told_ = 0;
+};
+
+} // namespace kumquat
--- a/src/coordination/entry/Target.cpp
+++ b/src/coordination/entry/Target.cpp
@@ -80,9 +80,21 @@
     recordReport(report.inFlight - ownInside, now);
     constexpr double percent = 100;
     pace_.store(report.pacePercent / percent, std::memory_order_relaxed);
+    reportedInFlight_.store(report.inFlight - ownInside, std::memory_order_relaxed);
+    store(heardItselfAt_, now);
     store(unansweredAt_, TimePoint());
 }
 
+void TargetStats::recordHearsay(const LoadReport &report, TimePoint heardAt)
+{
+    if (heardAt <= reportedAt()) {
+        return;
+    }
+    constexpr double percent = 100;
+    recordReport(report.inFlight, heardAt);
+    pace_.store(report.pacePercent / percent, std::memory_order_relaxed);
+}
+
 bool TargetStats::isUnanswered(TimePoint now) const
 {
     return load(unansweredAt_) != TimePoint() && now - load(unansweredAt_) < unansweredMemory;
--- a/src/coordination/entry/Target.h
+++ b/src/coordination/entry/Target.h
@@ -39,6 +39,11 @@
     /// Records a whole report; \p ownInside of the requests it counts are this entry's and have
     /// ended since.
     void recordLoad(const LoadReport &report, int ownInside, TimePoint now);
+    /// Records what another entry was told at \p heardAt, unless something newer is known.
+    void recordHearsay(const LoadReport &report, TimePoint heardAt);
+    /// When the target last reported to this entry itself, and how many requests it then had.
+    TimePoint heardItselfAt() const { return load(heardItselfAt_); }
+    int reportedInFlight() const { return reportedInFlight_.load(std::memory_order_relaxed); }
     double reportedPace() const { return pace_.load(std::memory_order_relaxed); }
     double reportedForeign() const { return foreignAtReport_.load(std::memory_order_relaxed); }
     TimePoint reportedAt() const { return load(reportedAt_); }
@@ -102,6 +107,8 @@
     std::atomic<bool> unreachable_ { false };
     std::atomic<Milliseconds::rep> ramp_ { 0 };
     std::atomic<double> pace_ { 1 };
+    std::atomic<int> reportedInFlight_ { 0 };
+    Ticks heardItselfAt_ { 0 };
     Ticks unansweredAt_ { 0 };
     Ticks reportedAt_ { 0 };
     Ticks lastSuccess_ { 0 };
--- a/src/coordination/membership/ControlFeed.cpp
+++ b/src/coordination/membership/ControlFeed.cpp
@@ -95,6 +95,7 @@
     poll.member = options_.member;
     poll.feedLife = link.feedLife;
     poll.cursor = link.cursor;
+    poll.entriesKnown = link.entriesKnown;
     poll.waitMs = link.reachable ? pollWait.count() : 0;
     hooks_.fillPoll(poll);
     const TimePoint started = Clock::now();
@@ -109,6 +110,7 @@
     }
     link.feedLife = answer->feedLife;
     link.cursor = answer->cursor;
+    link.entriesKnown = answer->entriesHash;
     link.listedAt = Clock::now();
     newestAnswered_ = std::max(newestAnswered_, started);
     for (const FeedMember &member : answer->members) {
--- a/src/coordination/membership/ControlFeed.h
+++ b/src/coordination/membership/ControlFeed.h
@@ -53,6 +53,7 @@
         TimePoint listedAt; ///< when an answer last named it
         std::uint64_t feedLife = 0;
         std::uint64_t cursor = 0;
+        std::uint64_t entriesKnown = 0;
     };
 
     void run(const std::string &address, Yield yield);
--- a/src/protocol/FeedMessage.h
+++ b/src/protocol/FeedMessage.h
@@ -54,8 +54,10 @@
     std::uint64_t number = 0; ///< of the configuration held; 0 is none
     std::int64_t waitMs = 0;
     std::vector<FeedSuspicion> suspicions;
+    std::string reportAddress; ///< where an entry takes other entries' reports; may be empty
+    std::uint64_t entriesKnown = 0; ///< `entriesHash` of the answer before
     MSGPACK_DEFINE(subscriber, subscriberLife, member, feedLife, cursor, epoch, number, waitMs,
-                   suspicions)
+                   suspicions, reportAddress, entriesKnown)
 };
 
 struct FeedAnswer
@@ -67,12 +69,14 @@
     std::vector<FeedSuspicion> suspicions;
     std::vector<FeedMember> members;
     std::uint32_t entries = 0; ///< entries that follow this member now
+    std::uint64_t entriesHash = 0;
+    std::vector<std::string> reportAddresses; ///< of those entries; only when the hash has changed
     std::uint64_t epoch = 0;
     std::uint64_t number = 0; ///< of the configuration attached; 0 is none
     std::vector<std::string> names; ///< of the configuration's files
     std::vector<std::string> contents;
-    MSGPACK_DEFINE(feedLife, cursor, items, renewals, suspicions, members, entries, epoch, number,
-                   names, contents)
+    MSGPACK_DEFINE(feedLife, cursor, items, renewals, suspicions, members, entries, entriesHash,
+                   reportAddresses, epoch, number, names, contents)
 };
 
 } // namespace kumquat
--- a/src/protocol/Settings.cpp
+++ b/src/protocol/Settings.cpp
@@ -135,6 +135,9 @@
         settings.clusterKeyFile = object.text("clusterKeyFile");
     } else {
         settings.controlSeeds = readAddresses(object, "controlSeeds", problems);
+        if (!object.member("reportAddress").isNull()) {
+            settings.reportAddress = readAddress(object, "reportAddress", problems);
+        }
         settings.clusterKeyFile = object.text("clusterKeyFile", "");
     }
     settings.retryBudget = readRetryBudget(object, problems);
--- a/src/transport/DatagramSocket.cpp
+++ b/src/transport/DatagramSocket.cpp
@@ -35,7 +35,8 @@
 
 void DatagramSocket::send(const Address &address, const std::string &payload)
 {
-    const std::string datagram = authenticator_->sign(payload) + "\n" + payload;
+    const std::string tag = authenticator_ ? authenticator_->sign(payload) : "";
+    const std::string datagram = tag + "\n" + payload;
     ErrorCode ignored;
     // A full socket buffer drops the datagram; gossip repairs itself as after any loss.
     sentBytes_ += socket_.send_to(asio::buffer(datagram), address.udp(), 0, ignored);
@@ -65,7 +66,9 @@
     const std::string datagram(buffer_.data(), length);
     const auto end = datagram.find('\n');
     const std::string payload = end == std::string::npos ? "" : datagram.substr(end + 1);
-    const absl::Status status = authenticator_->verify(datagram.substr(0, end), payload);
+    const absl::Status status = authenticator_
+        ? authenticator_->verify(datagram.substr(0, end), payload)
+        : absl::OkStatus();
     if (!status.ok()) {
         if (refused_++ == 0) {
             logEvent(Event::badDatagram, LogLevel::warning, "{}", std::string(status.message()));
--- a/src/transport/DatagramSocket.h
+++ b/src/transport/DatagramSocket.h
@@ -16,6 +16,7 @@
     /// The largest payload that fits a datagram of common Ethernet size with its tag.
     static constexpr std::size_t maxPayloadBytes = 1200;
 
+    /// \p authenticator may be null; then datagrams go unsigned.
     DatagramSocket(asio::io_context &context, std::shared_ptr<Authenticator> authenticator);
 
     absl::Status open(const Address &address, Receiver receiver);
