--- a/src/coordination/entry/EntryFeed.cpp
+++ b/src/coordination/entry/EntryFeed.cpp
@@ -20,6 +20,8 @@
 /// Questions a second to one target from all entries together; three quarters of what deployments
 /// allow.
 constexpr double questionsPerTarget = 45;
+/// What quiet seconds leave of that budget may be spent in a burst.
+constexpr double questionsSavedSeconds = 6;
 
 } // namespace
 
@@ -206,7 +208,7 @@
             const double targets = static_cast<double>(service->targets.size());
             const double questions
                 = questionsPerTarget * targets / static_cast<double>(liveEntries());
-            service->runtime->questionBudget.setRate(questions, questions);
+            service->runtime->questionBudget.setRate(questions, questions * questionsSavedSeconds);
             service->runtime->retryBudget.setMost(
                 std::max(1.0, budget.slack * budgetMargin / static_cast<double>(liveEntries())));
         }
--- a/src/coordination/entry/RoutedCall.cpp
+++ b/src/coordination/entry/RoutedCall.cpp
@@ -20,7 +20,7 @@
 constexpr unsigned firstServerError = 500;
 /// Targets asked for each placement; fewer where a question takes a target long.
 constexpr std::size_t quickQuestions = 14;
-constexpr std::size_t slowQuestions = 4;
+constexpr std::size_t slowQuestions = 3;
 constexpr Microseconds slowQuestion { 6'000 };
 constexpr Milliseconds questionPatience { 15 };
 /// Between two looks for a free slot.
