Refuse at the end of patience what would end far beyond its objective

Change: a request whose best place would take 1.6 times what is left of its objective is refused, true and soon; it may come back within a quarter of the objective.

--- a/include/kumquat/Placement.h
+++ b/include/kumquat/Placement.h
@@ -44,6 +44,10 @@
 /// moment.
 bool isWorthWaiting(double slowness, const PlacementTime &time, std::chrono::microseconds horizon);
 
+/// True when a place this slow would end far beyond the objective, so that the target's time is
+/// better left to a request that it can serve.
+bool isHopeless(double slowness, const PlacementTime &time);
+
 /// When a refused caller should come back: soon enough that its objective can still be met, and
 /// spread, so that the refused of one burst do not return together.
 std::chrono::milliseconds returnAfter(std::chrono::milliseconds objective, std::uint64_t random);
--- a/src/coordination/entry/RoutedCall.cpp
+++ b/src/coordination/entry/RoutedCall.cpp
@@ -141,6 +141,9 @@
     if (!last && isWorthWaiting(slowness_, placementTime(), placePause)) {
         return nullptr;
     }
+    if (last && isHopeless(slowness_, placementTime())) {
+        return nullptr;
+    }
     const TargetPtr &target = service_.targets[views[best].index];
     return target->stats->tryAcquire(target->record.slots) ? target : nullptr;
 }
--- a/src/coordination/policy/Placement.cpp
+++ b/src/coordination/policy/Placement.cpp
@@ -25,6 +25,8 @@
 constexpr Microseconds freshReport { 5'000 };
 /// Reports older than this prove nothing of free slots.
 constexpr Microseconds believedReport { 60'000 };
+/// A request that would take this many times what is left of its objective is better refused.
+constexpr double hopelessOvershoot = 1.6;
 /// A refused caller comes back between these parts of its objective.
 constexpr int earliestReturnParts = 10;
 constexpr int latestReturnParts = 4;
@@ -79,6 +81,12 @@
         && work * nearlyFullSlowdown + static_cast<double>(horizon.count()) < left;
 }
 
+bool isHopeless(double slowness, const PlacementTime &time)
+{
+    const double end = static_cast<double>(time.work.count()) * slowness;
+    return end > hopelessOvershoot * static_cast<double>(time.untilObjective.count());
+}
+
 std::chrono::milliseconds returnAfter(std::chrono::milliseconds objective, std::uint64_t random)
 {
     const std::chrono::milliseconds least = objective / earliestReturnParts;
