--- a/test/correctness/LogLines.cpp
+++ b/test/correctness/LogLines.cpp
@@ -9,8 +9,7 @@
 
 Json::Value parsed(const std::string &text)
 {
-    const auto value
-        = parseJson("line", "{" + logMembers(330, text) + "}", ErrorKind::badMessage);
+    const auto value = parseJson("line", "{" + logMembers(330, text) + "}", ErrorKind::badMessage);
     CHECK_TRUE(value.ok());
     return *value;
 }
--- a/test/correctness/PlacementChoices.cpp
+++ b/test/correctness/PlacementChoices.cpp
@@ -86,6 +86,16 @@
     LONGS_EQUAL(1, asked[0]);
 }
 
+TEST(PlacementChoices, aPlaceThatEndsFarBeyondTheObjectiveIsHopeless)
+{
+    const PlacementTime time { Milliseconds(100), Milliseconds(200) };
+    CHECK_FALSE(isHopeless(3.1, time));
+    CHECK_TRUE(isHopeless(3.3, time));
+    CHECK_TRUE(isHopeless(1, { Milliseconds(100), Milliseconds(-1) }));
+    // Before the first answer nothing is known of the work, and nothing is refused for it.
+    CHECK_FALSE(isHopeless(4, { Milliseconds(0), Milliseconds(200) }));
+}
+
 TEST(PlacementChoices, theRefusedComeBackSpreadAndInTime)
 {
     constexpr Milliseconds objective { 400 };
--- a/test/processes/platform_fleet.py
+++ b/test/processes/platform_fleet.py
@@ -23,7 +23,7 @@
         path, _, form = match.group(1).partition("|")
         found = fields
         for part in path.split("."):
-            found = found[part]
+            found = found[int(part)] if isinstance(found, list) else found[part]
         if form == "json" or not isinstance(found, str):
             return json.dumps(found)
         return found
@@ -59,10 +59,15 @@
 
     def fields(self, name, first):
         return {"NodeName": name, "Zone": "zone-" + name[-1], "SeedNodes": self.controls[:3],
+                "IpAddress": "127.0.0.1", "InternalPortRange": [self.free_port(name)],
                 "Bootstrap": first, "FaultTolerance": {"Machines": 1}, "Heartbeat": "1500ms",
                 "DataDir": os.path.join(self.folder, name + ".data"),
                 "Bounds": {"RetryBudgetRatio": 0.2, "BudgetSlack": 64}}
 
+    def free_port(self, name):
+        """A port of its own for each process, in the place of one for each instance."""
+        return 9301 + self.base + int(name[-1])
+
     def launch(self, program, template, name, listen, first):
         fields = dict(self.fields(name, first), ListenAddresses=listen)
         path = os.path.join(self.folder, name + ".json")
