--- a/src/common/Event.cpp
+++ b/src/common/Event.cpp
@@ -35,7 +35,8 @@
     // An event loop must never wait for a slow terminal, so the oldest lines give way.
     auto logger = std::make_shared<spdlog::async_logger>(
         processName, sink, spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
-    logger->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%e\",\"level\":\"%l\",\"process\":\"%n\",%v}");
+    logger->set_pattern(
+        "{\"time\":\"%Y-%m-%dT%H:%M:%S.%e\",\"level\":\"%l\",\"process\":\"%n\",%v}");
     logger->flush_on(spdlog::level::warn);
     spdlog::set_default_logger(logger);
 }
