--- a/src/coordination/entry/ServiceRuntime.cpp
+++ b/src/coordination/entry/ServiceRuntime.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr double serviceTimeWeight = 0.05;
+/// Answers from places expected to be slower than this say little of the work itself.
+constexpr double tellingSlowness = 1.2;
 
 /// A service with more targets than this is sampled, so that a choice stays cheap.
 constexpr std::size_t maxScanned = 48;
@@ -132,10 +134,13 @@
     return valueOf(questionTimeUs_);
 }
 
+// A place that was slow to begin with tells little of the work: what made it slow may have passed.
 void ServiceRuntime::recordWork(Clock::duration elapsed, double slowness)
 {
-    average(workUs_,
-            std::chrono::duration_cast<Clock::duration>(elapsed / std::max(1.0, slowness)));
+    if (slowness <= tellingSlowness || workUs_.load(std::memory_order_relaxed) == 0) {
+        average(workUs_,
+                std::chrono::duration_cast<Clock::duration>(elapsed / std::max(1.0, slowness)));
+    }
 }
 
 Microseconds ServiceRuntime::ordinaryWork() const
