Refuse a manifest whose route allows no time

Change: a Timeout of 0 makes a document invalid. The check for it in PlatformDocuments fails without.

--- a/include/kumquat/Event.h
+++ b/include/kumquat/Event.h
@@ -37,7 +37,6 @@
     requestRefused = 330,
     requestSentAgain = 331,
     requestFailed = 332,
-    requestDeparted = 333,
     requestLate = 334,
     answerRejected = 335,
     leaderElected = 400,
--- a/test/correctness/PlatformDocuments.cpp
+++ b/test/correctness/PlatformDocuments.cpp
@@ -66,6 +66,7 @@
     checkRefused(changed("\"safe\"", "\"odd\""), "RouteType");
     checkRefused(changed("0000001c", "1c"), "Version");
     checkRefused(changed("\"1.2s\"", "7"), "Timeout");
+    checkRefused(changed("\"1.2s\"", "\"0ms\""), "Timeout");
     checkRefused(changed("\"Weight\":90", "\"Weight\":\"90\""), "Weight");
     checkRefused(std::string(valid) + "x", "document");
 }
