Each entry of many uses a subset of the targets first

Each of 44 entries places 12 requests a second on 199 targets: a question nearly always needs a new connection, its time with the dial passed the bound beyond which only three targets are asked, and a report was old before the entry placed again. Change: targets are divided among live entries by rendezvous hashing, so that each entry has about 28; the rest are used when those have no room. The time of a question counts from its sending on an open connection, and short samples count for more. Placement of a routed request moved to a file of its own.

--- a/src/coordination/entry/Asking.cpp
+++ b/src/coordination/entry/Asking.cpp
@@ -25,7 +25,6 @@
     options.deadline = Clock::now() + questionTime;
     options.maxIdle = maxIdle;
     AttemptHandle handle;
-    const auto start = Clock::now();
     auto connection = connectTo(worker, *target, options, handle, yield);
     if (!connection) {
         target->stats->noteUnanswered(Clock::now());
@@ -35,6 +34,7 @@
     request.set(http::field::host, target->address.text());
     request.prepare_payload();
     connection->setDeadline(options.deadline);
+    const auto start = Clock::now();
     ErrorCode error = connection->sendWhole(request, yield);
     if (!error) {
         error = connection->readHead(false, yield);
--- a/src/coordination/entry/EntryCoordinator.cpp
+++ b/src/coordination/entry/EntryCoordinator.cpp
@@ -465,6 +465,9 @@
                 Target { record, { record.ip, record.port }, statsOf(record, now) }));
         }
     }
+    if (sharing_) {
+        divideTargets(*active);
+    }
     return active;
 }
 
--- a/src/coordination/entry/EntryCoordinator.h
+++ b/src/coordination/entry/EntryCoordinator.h
@@ -10,11 +10,13 @@
 #include "coordination/membership/ControlFeed.h"
 #include "coordination/membership/Gossip.h"
 #include "coordination/policy/OutlierEjection.h"
+#include "coordination/policy/Subset.h"
 #include "kumquat/Settings.h"
 #include "transport/DatagramSocket.h"
 
 #include <json/json.h>
 #include <thread>
+#include <unordered_map>
 
 namespace kumquat {
 
@@ -66,7 +68,9 @@
     void noteReachability(const std::string &member, bool reachable);
     absl::Status openSharing();
     void shareForever(Yield yield);
-    void takePeers(const FeedAnswer &answer);
+    void takePeers(const std::string &member, const FeedAnswer &answer);
+    void setPeers();
+    void divideTargets(ActiveService &service);
     bool followsFeed() const { return feed_ != nullptr; }
     std::size_t liveEntries() const;
     void refreshAfterFreeze(TimePoint now);
@@ -101,6 +105,9 @@
     std::unique_ptr<LoadSharing> sharing_; ///< null without an address for reports
     std::deque<HeldSuspicion> suspicions_; ///< of this entry, to be told to the members
     std::map<std::string, std::uint32_t> entriesAt_; ///< entries that follow each member
+    std::map<std::string, std::vector<std::string>> reportersAt_; ///< their addresses for reports
+    SubsetEntries subsetEntries_;
+    std::unordered_map<std::uint64_t, std::size_t> ranks_; ///< of this entry, by target
     std::map<std::string, std::shared_ptr<RouteRuntime>> routeRuntimes_;
     OutlierEjection ejection_;
     Configuration configuration_;
--- a/src/coordination/entry/EntryFeed.cpp
+++ b/src/coordination/entry/EntryFeed.cpp
@@ -59,17 +59,64 @@
     }
 }
 
-void EntryCoordinator::takePeers(const FeedAnswer &answer)
+// A member names the entries only when they have changed.
+void EntryCoordinator::takePeers(const std::string &member, const FeedAnswer &answer)
 {
+    if (!sharing_ || answer.reportAddresses.empty()
+        || reportersAt_[member] == answer.reportAddresses) {
+        return;
+    }
+    reportersAt_[member] = answer.reportAddresses;
+    setPeers();
+}
+
+// An entry that is cut off from some member is known to the others.
+void EntryCoordinator::setPeers()
+{
+    std::set<std::string> names { settings_.reportAddress };
+    for (const auto &reporters : reportersAt_) {
+        names.insert(reporters.second.begin(), reporters.second.end());
+    }
     std::vector<Address> peers;
-    for (const std::string &text : answer.reportAddresses) {
-        const auto address = parseAddress(text);
-        if (address.ok() && text != settings_.reportAddress) {
+    SubsetEntries entries;
+    entries.self = subsetHash(settings_.reportAddress);
+    for (const std::string &name : names) {
+        const auto address = parseAddress(name);
+        if (!address.ok()) {
+            continue;
+        }
+        entries.all.push_back(subsetHash(name));
+        if (name != settings_.reportAddress) {
             peers.push_back(*address);
         }
     }
-    if (sharing_ && !peers.empty()) {
-        sharing_->setPeers(std::move(peers));
+    sharing_->setPeers(std::move(peers));
+    if (entries.all != subsetEntries_.all) {
+        subsetEntries_ = std::move(entries);
+        ranks_.clear();
+        publish();
+    }
+}
+
+void EntryCoordinator::divideTargets(ActiveService &service)
+{
+    if (subsetEntries_.all.size() < 2) {
+        return;
+    }
+    std::vector<std::size_t> ranks;
+    for (const TargetPtr &target : service.targets) {
+        const std::uint64_t hash = subsetHash(target->record.name);
+        const auto known = ranks_.find(hash);
+        ranks.push_back(known == ranks_.end() ? rankAt(hash, subsetEntries_) : known->second);
+        ranks_[hash] = ranks.back();
+    }
+    const std::vector<bool> own = ownSubset(ranks, subsetEntries_.all.size());
+    for (std::size_t i = 0; i < own.size(); ++i) {
+        if (!own[i]) {
+            Target other = *service.targets[i];
+            other.inSubset = false;
+            service.targets[i] = std::make_shared<const Target>(std::move(other));
+        }
     }
 }
 
@@ -96,6 +143,10 @@
     if (!reachable) {
         entriesAt_.erase(member);
         silentAt_.erase(member);
+        // The last list is kept: whoever is in it goes on without the group, too.
+        if (reportersAt_.size() > 1 && reportersAt_.erase(member) > 0) {
+            setPeers();
+        }
     }
 }
 
@@ -103,7 +154,7 @@
 {
     const std::size_t entriesBefore = liveEntries();
     entriesAt_[member] = answer.entries;
-    takePeers(answer);
+    takePeers(member, answer);
     for (const FeedSuspicion &suspicion : answer.suspicions) {
         suspectRequest({ suspicion.fingerprint, suspicion.target });
     }
--- a/src/coordination/entry/RoutedCall.cpp
+++ b/src/coordination/entry/RoutedCall.cpp
@@ -1,7 +1,7 @@
 #include "coordination/entry/RoutedCall.h"
 
-#include "coordination/entry/Asking.h"
 #include "coordination/entry/RoutedExchange.h"
+#include "coordination/entry/RoutedPlacement.h"
 #include "kumquat/Event.h"
 #include "protocol/Headers.h"
 #include "transport/Spawn.h"
@@ -18,18 +18,9 @@
 /// Less time than this is not worth a target's work.
 constexpr Milliseconds leastTime { 5 };
 constexpr unsigned firstServerError = 500;
-/// Targets asked for each placement; fewer where a question takes a target long.
-constexpr std::size_t quickQuestions = 14;
-constexpr std::size_t slowQuestions = 3;
-constexpr Microseconds slowQuestion { 6'000 };
-constexpr Milliseconds questionPatience { 15 };
-/// Between two looks for a free slot.
-constexpr Milliseconds placePause { 12 };
 /// When a repeatable request is looked after, in parts of its latency objective.
 constexpr double firstLook = 0.5;
 constexpr double lookStep = 0.15;
-/// Another target must be about this quick to be worth a second sending.
-constexpr double quickEnough = 1.7;
 
 /// A status that tells the caller that the request was not run and never will be.
 bool promisesNotRun(unsigned status)
@@ -72,9 +63,6 @@
     bool repeatable() const { return route_.kind == RequestKind::idempotent; }
 
     // Placement.
-    std::vector<TargetPtr> targetsWorthAsking(const std::vector<PlacementView> &views);
-    TargetPtr placeByReports(bool last, Yield yield);
-    PlacementTime placementTime() const;
     TargetPtr place(Yield yield);
     void waitForPlace(TimePoint until, Yield yield);
 
@@ -115,45 +103,6 @@
 
 // Placement.
 
-std::vector<TargetPtr> RoutedCall::targetsWorthAsking(const std::vector<PlacementView> &views)
-{
-    const bool slow = runtime_.meanQuestionTime() > slowQuestion;
-    const std::size_t count = slow ? slowQuestions : quickQuestions;
-    std::vector<TargetPtr> targets;
-    for (const std::size_t position : worthAsking(views, count, request_.worker.random())) {
-        targets.push_back(service_.targets[views[position].index]);
-    }
-    return targets;
-}
-
-// Asks the likeliest targets and takes the best of all that is then known.
-TargetPtr RoutedCall::placeByReports(bool last, Yield yield)
-{
-    std::vector<PlacementView> views = placementViews(service_, tried_, Clock::now());
-    askForLoad(request_.worker, request_.dialect, service_, targetsWorthAsking(views),
-               questionPatience, yield);
-    views = placementViews(service_, tried_, Clock::now());
-    const std::size_t best = bestPlace(views, request_.worker.random());
-    if (best == views.size()) {
-        return nullptr;
-    }
-    slowness_ = expectedSlowness(views[best]);
-    if (!last && isWorthWaiting(slowness_, placementTime(), placePause)) {
-        return nullptr;
-    }
-    if (last && isHopeless(slowness_, placementTime())) {
-        return nullptr;
-    }
-    const TargetPtr &target = service_.targets[views[best].index];
-    return target->stats->tryAcquire(target->record.slots) ? target : nullptr;
-}
-
-PlacementTime RoutedCall::placementTime() const
-{
-    const auto left = request_.arrival + route_.latencyObjective - Clock::now();
-    return { runtime_.ordinaryWork(), std::chrono::duration_cast<Microseconds>(left) };
-}
-
 void RoutedCall::waitForPlace(TimePoint until, Yield yield)
 {
     ErrorCode ignored;
@@ -167,13 +116,14 @@
     const TimePoint until = std::min(patience, request_.deadline - leastTime);
     while (!race_->departed) {
         const bool last = Clock::now() + placePause >= until;
-        TargetPtr target = placeByReports(last, yield);
-        if (target && race_->departed) {
-            releaseTarget(service_, *target);
+        const Place found = takePlace(request_, tried_, last, yield);
+        slowness_ = found.slowness;
+        if (found.target && race_->departed) {
+            releaseTarget(service_, *found.target);
             return nullptr;
         }
-        if (target) {
-            return target;
+        if (found.target) {
+            return found.target;
         }
         const TimePoint now = Clock::now();
         if (usableTargets(service_, now) <= tried_.size()) {
@@ -358,31 +308,25 @@
     if (!isStuck(*present)) {
         return;
     }
-    std::vector<PlacementView> views = placementViews(service_, tried_, Clock::now());
-    askForLoad(request_.worker, request_.dialect, service_, targetsWorthAsking(views),
-               questionPatience, yield);
-    if (!anyRunning() || race_->departed) {
+    const Place quick = takeQuickPlace(request_, tried_, yield);
+    if (!quick.target) {
         return;
     }
-    views = placementViews(service_, tried_, Clock::now());
-    const std::size_t best = bestPlace(views, request_.worker.random());
-    if (best == views.size() || expectedSlowness(views[best]) > quickEnough) {
-        return;
-    }
-    const TargetPtr &target = service_.targets[views[best].index];
-    if (!target->stats->tryAcquire(target->record.slots)) {
+    if (!anyRunning() || race_->departed) {
+        releaseTarget(service_, *quick.target);
         return;
     }
     if (!runtime_.retryBudget.trySpend()) {
-        releaseTarget(service_, *target);
+        releaseTarget(service_, *quick.target);
         return;
     }
+    slowness_ = quick.slowness;
     ++runtime_.counters.hedges;
     logEvent(Event::requestSentAgain, LogLevel::info,
              "request={} route={} target={} end=slow pace={:.2f} sendings={} runs={}",
              request_.sendingId, route_.name, present->record.name, present->stats->reportedPace(),
              sendings_, runs_);
-    start(target);
+    start(quick.target);
 }
 
 // The end.
--- a/src/coordination/entry/RoutedCall.h
+++ b/src/coordination/entry/RoutedCall.h
@@ -8,6 +8,9 @@
 
 namespace kumquat {
 
+/// Between two looks for a place at a target.
+constexpr Milliseconds placePause { 12 };
+
 /// A request that has been read whole.
 struct RoutedRequest
 {
--- /dev/null
+++ b/src/coordination/entry/RoutedPlacement.cpp
@@ -0,0 +1,89 @@
+#include "coordination/entry/RoutedPlacement.h"
+
+#include "coordination/entry/Asking.h"
+
+namespace kumquat {
+
+namespace {
+
+/// Targets asked for each placement; fewer where a question takes a target long.
+constexpr std::size_t quickQuestions = 14;
+constexpr std::size_t slowQuestions = 3;
+constexpr Microseconds slowQuestion { 6'000 };
+constexpr Milliseconds questionPatience { 15 };
+/// Another target must be about this quick to be worth a second sending.
+constexpr double quickEnough = 1.7;
+
+std::vector<TargetPtr> targetsWorthAsking(RoutedRequest &request,
+                                          const std::vector<PlacementView> &views)
+{
+    const bool slow = request.service->runtime->usualQuestionTime() > slowQuestion;
+    const std::size_t count = slow ? slowQuestions : quickQuestions;
+    std::vector<TargetPtr> targets;
+    for (const std::size_t position : worthAsking(views, count, request.worker.random())) {
+        targets.push_back(request.service->targets[views[position].index]);
+    }
+    return targets;
+}
+
+struct Best
+{
+    TargetPtr target; ///< null when none has room
+    double slowness = 1;
+};
+
+/// The best target after the likeliest of \p scope were asked.
+Best askForBest(RoutedRequest &request, PlacementScope scope, const std::vector<std::string> &tried,
+                Yield yield)
+{
+    const ActiveService &service = *request.service;
+    std::vector<PlacementView> views = placementViews(service, scope, tried, Clock::now());
+    askForLoad(request.worker, request.dialect, service, targetsWorthAsking(request, views),
+               questionPatience, yield);
+    views = placementViews(service, scope, tried, Clock::now());
+    const std::size_t best = bestPlace(views, request.worker.random());
+    if (best == views.size()) {
+        return {};
+    }
+    return { service.targets[views[best].index], expectedSlowness(views[best]) };
+}
+
+PlacementTime placementTime(const RoutedRequest &request)
+{
+    const auto end = request.arrival + request.route->configuration.latencyObjective;
+    return { request.service->runtime->ordinaryWork(),
+             std::chrono::duration_cast<Microseconds>(end - Clock::now()) };
+}
+
+Place take(const Best &best)
+{
+    const bool taken = best.target->stats->tryAcquire(best.target->record.slots);
+    return { taken ? best.target : nullptr, best.slowness };
+}
+
+} // namespace
+
+Place takePlace(RoutedRequest &request, const std::vector<std::string> &tried, bool last,
+                Yield yield)
+{
+    Best best = askForBest(request, PlacementScope::subset, tried, yield);
+    if (!best.target) {
+        best = askForBest(request, PlacementScope::others, tried, yield);
+    }
+    if (!best.target) {
+        return {};
+    }
+    const PlacementTime time = placementTime(request);
+    const bool refused
+        = last ? isHopeless(best.slowness, time) : isWorthWaiting(best.slowness, time, placePause);
+    return refused ? Place { nullptr, best.slowness } : take(best);
+}
+
+Place takeQuickPlace(RoutedRequest &request, const std::vector<std::string> &tried, Yield yield)
+{
+    const Best best = askForBest(request, PlacementScope::subset, tried, yield);
+    const bool quick = best.target && best.slowness <= quickEnough;
+    return quick ? take(best) : Place {};
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/coordination/entry/RoutedPlacement.h
@@ -0,0 +1,24 @@
+#pragma once
+/// \file
+/// Finds a place at a target for one request of a host route, from what targets report.
+/// The likeliest targets are asked just before; those of the entry's subset come first.
+
+#include "coordination/entry/RoutedCall.h"
+
+namespace kumquat {
+
+/// A place that was taken, and how much slower than usual the request is expected to be there.
+struct Place
+{
+    TargetPtr target; ///< null when no place was taken
+    double slowness = 1;
+};
+
+/// Takes the best place that is worth taking now. With \p last nothing better is waited for.
+Place takePlace(RoutedRequest &request, const std::vector<std::string> &tried, bool last,
+                Yield yield);
+
+/// Takes a place where a second sending is likely to overtake the first.
+Place takeQuickPlace(RoutedRequest &request, const std::vector<std::string> &tried, Yield yield);
+
+} // namespace kumquat
--- a/src/coordination/entry/ServiceRuntime.cpp
+++ b/src/coordination/entry/ServiceRuntime.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr double serviceTimeWeight = 0.05;
+/// Weights of a question that was answered sooner, or later, than usual.
+constexpr double shorterWeight = 0.2;
+constexpr double longerWeight = 0.01;
 /// Answers from places expected to be slower than this say little of the work itself.
 constexpr double tellingSlowness = 1.2;
 
@@ -14,12 +17,13 @@
 constexpr std::size_t maxScanned = 48;
 
 // A lost update between two threads costs one sample, so no retry loop.
-void average(std::atomic<double> &valueUs, Clock::duration elapsed)
+void average(std::atomic<double> &valueUs, Clock::duration elapsed,
+             double weight = serviceTimeWeight)
 {
     constexpr double microsecondsPerMillisecond = 1'000;
     const double sample = toMilliseconds(elapsed) * microsecondsPerMillisecond;
     const double old = valueUs.load(std::memory_order_relaxed);
-    const double next = old == 0 ? sample : old + serviceTimeWeight * (sample - old);
+    const double next = old == 0 ? sample : old + weight * (sample - old);
     valueUs.store(next, std::memory_order_relaxed);
 }
 
@@ -124,12 +128,14 @@
     return valueOf(serviceTimeUs_);
 }
 
+// What delays an answer here says nothing of the target, so short samples count for more.
 void ServiceRuntime::recordQuestionTime(Clock::duration elapsed)
 {
-    average(questionTimeUs_, elapsed);
+    const bool shorter = elapsed < usualQuestionTime();
+    average(questionTimeUs_, elapsed, shorter ? shorterWeight : longerWeight);
 }
 
-Microseconds ServiceRuntime::meanQuestionTime() const
+Microseconds ServiceRuntime::usualQuestionTime() const
 {
     return valueOf(questionTimeUs_);
 }
@@ -148,14 +154,16 @@
     return valueOf(workUs_);
 }
 
-std::vector<PlacementView> placementViews(const ActiveService &service,
+std::vector<PlacementView> placementViews(const ActiveService &service, PlacementScope scope,
                                           const std::vector<std::string> &tried, TimePoint now)
 {
     std::vector<PlacementView> views;
-    views.reserve(service.targets.size());
     for (std::size_t index = 0; index < service.targets.size(); ++index) {
         const Target &target = *service.targets[index];
         const TargetStats &stats = *target.stats;
+        if (target.inSubset != (scope == PlacementScope::subset)) {
+            continue;
+        }
         if (!isUsable(target, now) || stats.isUnanswered(now)
             || contains(tried, target.record.name)) {
             continue;
--- a/src/coordination/entry/ServiceRuntime.h
+++ b/src/coordination/entry/ServiceRuntime.h
@@ -61,9 +61,10 @@
     /// Time that a target needs for a request; zero before the first answer.
     Microseconds meanServiceTime() const;
 
-    /// How long targets take to answer a question about their load; zero before the first.
+    /// How long targets take to answer a question about their load on an open connection; near
+    /// the shortest of late, zero before the first.
     void recordQuestionTime(Clock::duration elapsed);
-    Microseconds meanQuestionTime() const;
+    Microseconds usualQuestionTime() const;
 
     /// Records the time of an answer from a target that was \p slowness times slower than usual.
     void recordWork(Clock::duration elapsed, double slowness);
@@ -101,8 +102,14 @@
     }
 };
 
+/// Which targets a decision on placement looks at.
+enum class PlacementScope {
+    subset, ///< those that this entry uses first
+    others, ///< the rest, when the first have no room
+};
+
 /// What is known of the usable targets that are not in \p tried, for a decision on placement.
-std::vector<PlacementView> placementViews(const ActiveService &service,
+std::vector<PlacementView> placementViews(const ActiveService &service, PlacementScope scope,
                                           const std::vector<std::string> &tried, TimePoint now);
 
 /// Takes a place at the best target that is not in \p tried; null when none has one.
--- a/src/coordination/entry/Target.h
+++ b/src/coordination/entry/Target.h
@@ -123,6 +123,7 @@
     TargetRecord record;
     Address address;
     std::shared_ptr<TargetStats> stats;
+    bool inSubset = true; ///< among those that this entry uses first
 };
 
 using TargetPtr = std::shared_ptr<const Target>;
--- a/src/coordination/membership/ControlFeed.cpp
+++ b/src/coordination/membership/ControlFeed.cpp
@@ -124,6 +124,7 @@
 {
     if (link.reachable != reachable) {
         link.reachable = reachable;
+        link.entriesKnown = 0;
         hooks_.reachabilityChanged(address, reachable);
     }
 }
--- /dev/null
+++ b/test/correctness/SubsetDivides.cpp
@@ -0,0 +1,85 @@
+// Many entries divide a service's targets among them: each has enough, each target is used.
+#include "TestSupport.h"
+#include "coordination/policy/Subset.h"
+
+using namespace kumquat;
+
+namespace {
+
+SubsetEntries entriesOf(std::size_t count, std::size_t self)
+{
+    SubsetEntries entries;
+    for (std::size_t i = 0; i < count; ++i) {
+        entries.all.push_back(subsetHash("entry-" + std::to_string(i)));
+    }
+    entries.self = entries.all[self];
+    return entries;
+}
+
+std::vector<bool> subsetOf(std::size_t entries, std::size_t self, std::size_t targets)
+{
+    std::vector<std::size_t> ranks;
+    const SubsetEntries known = entriesOf(entries, self);
+    for (std::size_t target = 0; target < targets; ++target) {
+        ranks.push_back(rankAt(subsetHash("target-" + std::to_string(target)), known));
+    }
+    return ownSubset(ranks, entries);
+}
+
+std::size_t sizeOf(const std::vector<bool> &subset)
+{
+    return static_cast<std::size_t>(std::count(subset.begin(), subset.end(), true));
+}
+
+} // namespace
+
+TEST_GROUP(SubsetDivides) {};
+
+TEST(SubsetDivides, fewEntriesUseAllTargets)
+{
+    for (std::size_t self = 0; self < 7; ++self) {
+        UNSIGNED_LONGS_EQUAL(22, sizeOf(subsetOf(7, self, 22)));
+    }
+}
+
+TEST(SubsetDivides, eachEntryHasEnoughAndNotNearlyAll)
+{
+    for (std::size_t self = 0; self < 44; ++self) {
+        const std::size_t size = sizeOf(subsetOf(44, self, 199));
+        CHECK(size >= 16);
+        CHECK(size <= 60);
+    }
+}
+
+TEST(SubsetDivides, eachTargetIsUsedBySeveralEntries)
+{
+    std::vector<std::size_t> users(199, 0);
+    for (std::size_t self = 0; self < 44; ++self) {
+        const std::vector<bool> subset = subsetOf(44, self, 199);
+        for (std::size_t target = 0; target < subset.size(); ++target) {
+            users[target] += subset[target] ? 1 : 0;
+        }
+    }
+    for (const std::size_t count : users) {
+        CHECK(count >= entriesPerTarget(44, 199));
+    }
+}
+
+TEST(SubsetDivides, anEntryMoreMovesFewTargets)
+{
+    std::size_t moved = 0;
+    for (std::size_t self = 0; self < 44; ++self) {
+        const std::vector<bool> before = subsetOf(44, self, 199);
+        const std::vector<bool> after = subsetOf(45, self, 199);
+        for (std::size_t target = 0; target < before.size(); ++target) {
+            moved += before[target] != after[target] ? 1 : 0;
+        }
+    }
+    // A new entry of 45 takes about one in 45 of all shares; twice that is allowed.
+    CHECK(moved <= 2 * 44 * 199 / 45);
+}
+
+TEST(SubsetDivides, aSmallServiceIsUsedWhole)
+{
+    UNSIGNED_LONGS_EQUAL(10, sizeOf(subsetOf(300, 17, 10)));
+}
