Metrics by prometheus-cpp with latency histograms, on an address of the settings; times with units in settings

Metrics stood on the ready and control addresses only, in a text of our own, without histograms; deploy/system.toml named none.

--- a/include/kumquat/Settings.h
+++ b/include/kumquat/Settings.h
@@ -4,6 +4,7 @@
 /// They are read from a JSON file with comments and checked as a whole.
 
 #include <absl/status/statusor.h>
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
     /// Some members of the control group, which tell of the others and of the targets; in the
     /// place of `gossipAddress`, `gossipPeers` and `controlMembers`.
     std::vector<std::string> controlSeeds;
+    std::string
+        metricsAddress; ///< where metrics are served besides `internalAddress`; may be empty
     std::string reportAddress; ///< for datagrams between entries about targets' load; may be empty
     std::string clusterKeyFile; ///< empty: messages between processes are not signed
     SharedRetryBudget retryBudget;
@@ -59,7 +62,8 @@
     std::vector<std::string> seeds;
     bool firstStart = false; ///< the whole system starts for the first time; seeds found the group
     int toleratedLosses = 1; ///< disks that may be lost at once; twice as many and one more vote
-    int heartbeatMs = 1'500; ///< between two announcements of a target
+    std::string metricsAddress; ///< where metrics are served besides the member's; may be empty
+    std::chrono::milliseconds heartbeat { 1'500 }; ///< between two announcements of a target
     std::string clusterKeyFile; ///< empty: messages between processes are not signed
     int maxOnceRecords = 200'000;
     int onceRetentionSeconds = 86'400;
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -287,6 +287,8 @@
     def metrics(self, address):
         values = {}
         for line in self.get(address, "/kumquat/v1/metrics").splitlines():
+            if line.startswith("#"):
+                continue
             name, value = line.rsplit(" ", 1)
             values[name] = float(value)
         return values
--- /dev/null
+++ b/src/common/Duration.cpp
@@ -0,0 +1,25 @@
+#include "common/Duration.h"
+
+#include <absl/strings/numbers.h>
+
+namespace kumquat {
+
+std::optional<Milliseconds> parseDuration(const std::string &text)
+{
+    const std::size_t unit = text.find_first_not_of("0123456789.");
+    double number = 0;
+    if (unit == std::string::npos || !absl::SimpleAtod(text.substr(0, unit), &number)) {
+        return std::nullopt;
+    }
+    const std::string name = text.substr(unit);
+    if (name == "ms") {
+        return Milliseconds(static_cast<std::int64_t>(number));
+    }
+    constexpr double millisecondsPerSecond = 1'000;
+    if (name == "s") {
+        return Milliseconds(static_cast<std::int64_t>(number * millisecondsPerSecond));
+    }
+    return std::nullopt;
+}
+
+} // namespace kumquat
--- a/src/common/JsonReader.cpp
+++ b/src/common/JsonReader.cpp
@@ -1,5 +1,7 @@
 #include "common/JsonReader.h"
 
+#include "common/Duration.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
@@ -151,6 +153,23 @@
     return Milliseconds(integer(key, low.count(), high.count(), fallback.count()));
 }
 
+Milliseconds JsonObject::duration(const char *key, Milliseconds low, Milliseconds high,
+                                  Milliseconds fallback)
+{
+    const Json::Value &value = member(key);
+    if (value.isNull()) {
+        return fallback;
+    }
+    const auto read = value.isString() ? parseDuration(value.asString()) : std::nullopt;
+    if (!read || *read < low || *read > high) {
+        problems_.add(pathOf(key), "is " + writeJson(value),
+                      "write a time from " + std::to_string(low.count()) + "ms to "
+                          + std::to_string(high.count()) + "ms, such as 1500ms or 2.5s");
+        return fallback;
+    }
+    return *read;
+}
+
 std::vector<std::string> JsonObject::texts(const char *key, bool required)
 {
     const Json::Value &value = required ? this->required(key) : member(key);
--- a/src/common/JsonReader.h
+++ b/src/common/JsonReader.h
@@ -51,6 +51,9 @@
     double number(const char *key, double low, double high, double fallback);
     Milliseconds milliseconds(const char *key, Milliseconds low, Milliseconds high,
                               Milliseconds fallback);
+    /// A time with its unit, such as `1500ms` or `2.5s`.
+    Milliseconds duration(const char *key, Milliseconds low, Milliseconds high,
+                          Milliseconds fallback);
     std::vector<std::string> texts(const char *key, bool required);
 
     /// The member \p key, or null when it is absent.
--- a/src/common/LatencyRecorder.cpp
+++ b/src/common/LatencyRecorder.cpp
@@ -9,16 +9,20 @@
 namespace {
 
 const std::array<double, 3> quantiles { 0.5, 0.99, 0.999 };
+/// Upper bounds in milliseconds: a half more each, from a quick answer to a long timeout.
+const std::vector<double> buckets { 1,   2,   5,   10,  20,  40,   60,   90,   130,  200,
+                                    300, 400, 500, 600, 800, 1200, 1800, 2700, 4000, 10'000 };
 
 } // namespace
 
 LatencyRecorder::LatencyRecorder()
-    : accumulator_(accumulators::extended_p_square_probabilities = quantiles)
+    : accumulator_(accumulators::extended_p_square_probabilities = quantiles), histogram_(buckets)
 {
 }
 
 void LatencyRecorder::record(Clock::duration duration)
 {
+    histogram_.Observe(toMilliseconds(duration));
     const std::lock_guard<std::mutex> lock(mutex_);
     accumulator_(toMilliseconds(duration));
 }
--- a/src/common/LatencyRecorder.h
+++ b/src/common/LatencyRecorder.h
@@ -1,7 +1,8 @@
 #pragma once
 /// \file
 /// Summarises durations with Boost.Accumulators: count, mean, maximum and three quantiles.
-/// The quantiles are estimates (P-square); the load tool keeps exact samples instead.
+/// The quantiles are estimates (P-square), of the whole life; a histogram beside them can be added
+/// up over entries and times. The load tool keeps exact samples instead.
 
 #include "common/Time.h"
 
@@ -12,6 +13,7 @@
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <mutex>
+#include <prometheus/histogram.h>
 
 namespace kumquat {
 
@@ -32,6 +34,7 @@
 
     void record(Clock::duration duration);
     LatencySummary summary() const;
+    prometheus::ClientMetric histogram() const { return histogram_.Collect(); }
 
 private:
     using Accumulator = boost::accumulators::accumulator_set<
@@ -42,6 +45,7 @@
 
     mutable std::mutex mutex_;
     Accumulator accumulator_;
+    prometheus::Histogram histogram_;
 };
 
 } // namespace kumquat
--- a/src/coordination/control/ControlDocuments.cpp
+++ b/src/coordination/control/ControlDocuments.cpp
@@ -41,7 +41,7 @@
 {
     TargetRegistryOptions options;
     options.name = settings_.listenAddress;
-    options.heartbeat = Milliseconds(settings_.heartbeatMs);
+    options.heartbeat = settings_.heartbeat;
     TargetRegistryHooks hooks;
     hooks.members = [this] { return members(); };
     hooks.nameConfiguration = [this](const FeedPoll &poll, FeedAnswer &answer, Yield yield) {
--- a/src/coordination/control/ControlOperations.cpp
+++ b/src/coordination/control/ControlOperations.cpp
@@ -2,6 +2,7 @@
 #include "coordination/control/ControlServer.h"
 
 #include "common/JsonReader.h"
+#include "common/MetricsPage.h"
 #include "kumquat/Event.h"
 #include "transport/Spawn.h"
 
@@ -213,14 +214,28 @@
 std::string ControlServer::metrics() const
 {
     const Raft &raft = node_->raft();
-    return absl::StrCat("kumquat_control_leads ", raft.leads() ? 1 : 0, "\nkumquat_control_term ",
-                        raft.term(), "\nkumquat_control_committed ", raft.committed(),
-                        "\nkumquat_control_syncs_total ", node_->store().syncs(),
-                        "\nkumquat_control_log_bytes_total ", node_->store().bytesWritten(),
-                        "\nkumquat_control_peer_bytes_total ", links_->sentBytes(),
-                        "\nkumquat_control_files_served_total ", filesServed_,
-                        "\nkumquat_control_once_calls_total ", claims_,
-                        "\nkumquat_control_once_records ", node_->state().once().size(), "\n");
+    MetricsPage page;
+    page.gauge("control_leads", {}, raft.leads() ? 1 : 0);
+    page.gauge("control_term", {}, static_cast<double>(raft.term()));
+    page.gauge("control_committed", {}, static_cast<double>(raft.committed()));
+    page.counter("control_syncs_total", {}, static_cast<double>(node_->store().syncs()));
+    page.counter("control_log_bytes_total", {}, static_cast<double>(node_->store().bytesWritten()));
+    page.counter("control_peer_bytes_total", {}, static_cast<double>(links_->sentBytes()));
+    page.counter("control_files_served_total", {}, static_cast<double>(filesServed_));
+    page.counter("control_once_calls_total", {}, static_cast<double>(claims_));
+    page.gauge("control_once_records", {}, static_cast<double>(node_->state().once().size()));
+    return page.text();
+}
+
+absl::Status ControlServer::openMetrics()
+{
+    if (settings_.metricsAddress.empty()) {
+        return absl::OkStatus();
+    }
+    metricsServer_ = std::make_shared<HttpServer>(loop_, [this](const HttpRequest &, Yield) {
+        return textResponse(http::status::ok, metrics(), metricsContentType);
+    });
+    return metricsServer_->listen(*parseAddress(settings_.metricsAddress));
 }
 
 } // namespace kumquat
--- a/src/coordination/control/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -1,6 +1,7 @@
 #include "coordination/control/ControlServer.h"
 
 #include "common/JsonReader.h"
+#include "common/MetricsPage.h"
 #include "coordination/control/ControlClient.h"
 #include "kumquat/Event.h"
 #include "protocol/Codec.h"
@@ -108,6 +109,7 @@
         openFeed();
         openHints();
     }
+    status.Update(openMetrics());
     return status.ok() ? server_->listen(address_) : status;
 }
 
@@ -166,7 +168,7 @@
         return textResponse(http::status::ok, writeJson(status(), true) + "\n");
     }
     if (request.method() == http::verb::get && path == wire::metricsPath) {
-        return textResponse(http::status::ok, metrics(), "text/plain; version=0.0.4");
+        return textResponse(http::status::ok, metrics(), metricsContentType);
     }
     if (registry_ && path.rfind(wire::targetsPath, 0) == 0) {
         return registry_->announce(request, yield);
--- a/src/coordination/control/ControlServer.h
+++ b/src/coordination/control/ControlServer.h
@@ -78,6 +78,7 @@
 
     Json::Value status() const;
     std::string metrics() const;
+    absl::Status openMetrics();
 
     ControlSettings settings_;
     FileWatch settingsWatch_;
@@ -91,6 +92,7 @@
     asio::io_context rpcLoop_ { 1 };
     std::shared_ptr<Authenticator> authenticator_;
     std::shared_ptr<HttpServer> server_;
+    std::shared_ptr<HttpServer> metricsServer_; ///< null without an address of its own
     std::unique_ptr<GroupNode> node_;
     std::unique_ptr<PeerLinks> links_;
     std::unique_ptr<ControlRpc> rpc_;
--- a/src/coordination/entry/EntryCoordinator.cpp
+++ b/src/coordination/entry/EntryCoordinator.cpp
@@ -1,6 +1,7 @@
 #include "coordination/entry/EntryCoordinator.h"
 
 #include "common/JsonReader.h"
+#include "common/MetricsPage.h"
 #include "kumquat/Event.h"
 #include "protocol/Announcement.h"
 #include "protocol/Wire.h"
@@ -103,6 +104,10 @@
 
 absl::Status EntryCoordinator::open()
 {
+    const absl::Status metricsOpened = openMetrics();
+    if (!metricsOpened.ok()) {
+        return metricsOpened;
+    }
     if (followsFeed()) {
         const absl::Status sharing = openSharing();
         if (!sharing.ok()) {
@@ -164,7 +169,7 @@
         return textResponse(http::status::ok, writeJson(dump(), true) + "\n");
     }
     if (path == wire::metricsPath) {
-        return textResponse(http::status::ok, metrics(), "text/plain; version=0.0.4");
+        return textResponse(http::status::ok, metrics(), metricsContentType);
     }
     return errorResponse(http::status::not_found,
                          makeError(ErrorKind::badMessage, path + " is not served here",
--- a/src/coordination/entry/EntryCoordinator.h
+++ b/src/coordination/entry/EntryCoordinator.h
@@ -95,6 +95,7 @@
 
     Json::Value dump() const;
     std::string metrics() const;
+    absl::Status openMetrics();
 
     EntryCore &core_;
     EntrySettings settings_;
@@ -102,6 +103,7 @@
     asio::io_context loop_ { 1 };
     std::shared_ptr<Authenticator> authenticator_;
     std::shared_ptr<HttpServer> server_;
+    std::shared_ptr<HttpServer> metricsServer_; ///< null without an address of its own
     DatagramSocket datagrams_;
     HttpClient probeClient_;
     HttpClient memberClient_;
--- a/src/coordination/entry/EntryStatus.cpp
+++ b/src/coordination/entry/EntryStatus.cpp
@@ -1,9 +1,8 @@
 // The dump and the metrics of an entry: what operators read to see what it does.
 #include "common/JsonReader.h"
+#include "common/MetricsPage.h"
 #include "coordination/entry/EntryCoordinator.h"
 
-#include <absl/strings/str_cat.h>
-
 namespace kumquat {
 
 namespace {
@@ -40,34 +39,35 @@
     return value;
 }
 
-void addMetric(std::string &text, const std::string &name, const std::string &labels, double value)
-{
-    absl::StrAppend(&text, "kumquat_", name, labels.empty() ? "" : "{" + labels + "}", " ", value,
-                    "\n");
-}
-
-void addServiceMetrics(std::string &text, const ActiveService &service)
+void addServiceMetrics(MetricsPage &page, const ActiveService &service)
 {
-    const std::string label = "service=\"" + service.configuration.name + "\"";
-    const ServiceCounters &counters = service.runtime->counters;
-    addMetric(text, "requests_total", label, static_cast<double>(counters.requests.load()));
-    addMetric(text, "answered_total", label, static_cast<double>(counters.answered.load()));
-    addMetric(text, "retries_total", label, static_cast<double>(counters.retries.load()));
-    addMetric(text, "hedges_total", label, static_cast<double>(counters.hedges.load()));
-    addMetric(text, "sheds_total", label, static_cast<double>(counters.sheds.load()));
-    addMetric(text, "departed_total", label, static_cast<double>(counters.departed.load()));
+    const MetricLabel label { "service", service.configuration.name };
+    const ServiceRuntime &runtime = *service.runtime;
+    const ServiceCounters &counters = runtime.counters;
+    const auto count = [&page, &label](const char *name, const std::atomic<std::uint64_t> &value) {
+        page.counter(name, { label }, static_cast<double>(value.load()));
+    };
+    count("requests_total", counters.requests);
+    count("answered_total", counters.answered);
+    count("retries_total", counters.retries);
+    count("hedges_total", counters.hedges);
+    count("sheds_total", counters.sheds);
+    count("departed_total", counters.departed);
+    count("questions_total", counters.questions);
     for (int reason = 0; reason < refusalReasonCount; ++reason) {
         const auto refused = counters.refused[static_cast<std::size_t>(reason)].load();
         if (refused > 0) {
             const char *name = refusalReasonName(static_cast<RefusalReason>(reason));
-            addMetric(text, "refused_total", absl::StrCat(label, ",reason=\"", name, "\""),
-                      static_cast<double>(refused));
+            page.counter("refused_total", { label, { "reason", name } },
+                         static_cast<double>(refused));
         }
     }
-    const LatencySummary latency = service.runtime->latency.summary();
-    addMetric(text, "latency_ms", label + ",quantile=\"0.5\"", latency.p50Ms);
-    addMetric(text, "latency_ms", label + ",quantile=\"0.99\"", latency.p99Ms);
-    addMetric(text, "latency_ms", label + ",quantile=\"0.999\"", latency.p999Ms);
+    page.gauge("waiting", { label }, static_cast<double>(runtime.waiting()));
+    const LatencySummary latency = runtime.latency.summary();
+    page.gauge("latency_ms", { label, { "quantile", "0.5" } }, latency.p50Ms);
+    page.gauge("latency_ms", { label, { "quantile", "0.99" } }, latency.p99Ms);
+    page.gauge("latency_ms", { label, { "quantile", "0.999" } }, latency.p999Ms);
+    page.histogram("request_duration_ms", { label }, runtime.latency.histogram());
 }
 
 } // namespace
@@ -96,22 +96,34 @@
 
 std::string EntryCoordinator::metrics() const
 {
-    std::string text;
+    MetricsPage page;
     const auto routing = core_.routing.read();
     for (const auto &service : routing->services) {
-        addServiceMetrics(text, *service);
+        addServiceMetrics(page, *service);
+    }
+    page.gauge("caller_connections", {}, core_.connections.load());
+    page.counter("unrouted_total", {}, static_cast<double>(core_.unrouted.load()));
+    page.gauge("control_reachable", {}, controlReachable_ ? 1 : 0);
+    page.gauge("configuration_number", {}, static_cast<double>(routing->version.number));
+    page.counter("configuration_fetches_total", {}, static_cast<double>(fetches_));
+    page.gauge("live_peers", {}, static_cast<double>(gossip_->livePeers()));
+    page.gauge("live_entries", {}, static_cast<double>(liveEntries()));
+    page.counter("gossip_sent_bytes_total", {}, static_cast<double>(datagrams_.sentBytes()));
+    page.counter("gossip_held_back_total", {}, static_cast<double>(gossip_->droppedForBudget()));
+    page.counter("probes_total", {}, static_cast<double>(probesSent_));
+    page.counter("probes_held_back_total", {}, static_cast<double>(probesHeldBack_));
+    return page.text();
+}
+
+absl::Status EntryCoordinator::openMetrics()
+{
+    if (settings_.metricsAddress.empty()) {
+        return absl::OkStatus();
     }
-    addMetric(text, "caller_connections", "", core_.connections.load());
-    addMetric(text, "unrouted_total", "", static_cast<double>(core_.unrouted.load()));
-    addMetric(text, "control_reachable", "", controlReachable_ ? 1 : 0);
-    addMetric(text, "configuration_number", "", static_cast<double>(routing->version.number));
-    addMetric(text, "configuration_fetches_total", "", static_cast<double>(fetches_));
-    addMetric(text, "live_peers", "", static_cast<double>(gossip_->livePeers()));
-    addMetric(text, "gossip_sent_bytes_total", "", static_cast<double>(datagrams_.sentBytes()));
-    addMetric(text, "gossip_held_back_total", "", static_cast<double>(gossip_->droppedForBudget()));
-    addMetric(text, "probes_total", "", static_cast<double>(probesSent_));
-    addMetric(text, "probes_held_back_total", "", static_cast<double>(probesHeldBack_));
-    return text;
+    metricsServer_ = std::make_shared<HttpServer>(loop_, [this](const HttpRequest &, Yield) {
+        return textResponse(http::status::ok, metrics(), metricsContentType);
+    });
+    return metricsServer_->listen(*parseAddress(settings_.metricsAddress));
 }
 
 } // namespace kumquat
--- a/src/protocol/Settings.cpp
+++ b/src/protocol/Settings.cpp
@@ -33,6 +33,11 @@
     return text;
 }
 
+std::string readOptionalAddress(JsonObject &object, const char *key, JsonProblems &problems)
+{
+    return object.member(key).isNull() ? "" : readAddress(object, key, problems);
+}
+
 std::vector<std::string> readAddresses(JsonObject &object, const char *key, JsonProblems &problems)
 {
     std::vector<std::string> addresses = object.texts(key, true);
@@ -92,14 +97,26 @@
     settings.firstStart = object.flag("firstStart", false);
     settings.toleratedLosses
         = static_cast<int>(object.integer("toleratedLosses", 0, 10, settings.toleratedLosses));
-    settings.heartbeatMs
-        = static_cast<int>(object.integer("heartbeatMs", 10, 600'000, settings.heartbeatMs));
+    settings.heartbeat
+        = object.duration("heartbeat", Milliseconds(10), Milliseconds(600'000), settings.heartbeat);
     settings.clusterKeyFile = object.text("clusterKeyFile", "");
     if (settings.listenAddress.empty()) {
         problems.add("/listenAddress", "is missing", "name the address that this member serves");
     }
 }
 
+// What is left of the whole time after the listeners have closed, less what ending takes.
+void readStopWithin(JsonObject &object, EntrySettings &settings)
+{
+    constexpr Milliseconds ending { 500 };
+    const Milliseconds within
+        = object.duration("stopWithin", Milliseconds(0), Milliseconds(3'600'000), Milliseconds(0));
+    if (within.count() > 0) {
+        const Milliseconds left = within - Milliseconds(settings.stopGraceMs) - ending;
+        settings.stopLimitMs = static_cast<int>(std::max(Milliseconds(0), left).count());
+    }
+}
+
 template <typename Settings>
 absl::StatusOr<Settings> finished(Settings settings, JsonObject &object,
                                   const JsonProblems &problems)
@@ -128,6 +145,7 @@
     settings.dialect = readDialect(object, problems);
     settings.callerAddress = readAddress(object, "callerAddress", problems);
     settings.internalAddress = readAddress(object, "internalAddress", problems);
+    settings.metricsAddress = readOptionalAddress(object, "metricsAddress", problems);
     if (object.member("controlSeeds").isNull()) {
         settings.gossipAddress = readAddress(object, "gossipAddress", problems);
         settings.gossipPeers = readAddresses(object, "gossipPeers", problems);
@@ -135,9 +153,7 @@
         settings.clusterKeyFile = object.text("clusterKeyFile");
     } else {
         settings.controlSeeds = readAddresses(object, "controlSeeds", problems);
-        if (!object.member("reportAddress").isNull()) {
-            settings.reportAddress = readAddress(object, "reportAddress", problems);
-        }
+        settings.reportAddress = readOptionalAddress(object, "reportAddress", problems);
         settings.clusterKeyFile = object.text("clusterKeyFile", "");
     }
     settings.retryBudget = readRetryBudget(object, problems);
@@ -148,6 +164,7 @@
         = static_cast<int>(object.integer("stopGraceMs", 0, 60'000, settings.stopGraceMs));
     settings.stopLimitMs
         = static_cast<int>(object.integer("stopLimitMs", 0, 3'600'000, settings.stopLimitMs));
+    readStopWithin(object, settings);
     return finished(settings, object, problems);
 }
 
@@ -165,9 +182,8 @@
     settings.failureDomain = object.text("failureDomain");
     settings.dataFolder = object.text("dataFolder");
     settings.dialect = readDialect(object, problems);
-    if (!object.member("listenAddress").isNull()) {
-        settings.listenAddress = readAddress(object, "listenAddress", problems);
-    }
+    settings.listenAddress = readOptionalAddress(object, "listenAddress", problems);
+    settings.metricsAddress = readOptionalAddress(object, "metricsAddress", problems);
     const bool seeded = !object.member("seeds").isNull();
     if (seeded) {
         readSeeds(object, settings, problems);
--- a/test/correctness/PlatformDocuments.cpp
+++ b/test/correctness/PlatformDocuments.cpp
@@ -1,5 +1,6 @@
 // A document of the platform is read whole or refused with the place of its fault.
 #include "TestSupport.h"
+#include "common/Duration.h"
 #include "platform/Dialect.h"
 
 #include <json/json.h>
@@ -78,9 +79,9 @@
 
 TEST(PlatformDocuments, timesHaveANumberAndAUnit)
 {
-    LONGS_EQUAL(1'500, platform::parseTime("1500ms")->count());
-    LONGS_EQUAL(2'500, platform::parseTime("2.5s")->count());
+    LONGS_EQUAL(1'500, parseDuration("1500ms")->count());
+    LONGS_EQUAL(2'500, parseDuration("2.5s")->count());
     for (const char *text : { "", "5", "ms", "1m", "1.2.3s", "-1s" }) {
-        CHECK_FALSE(platform::parseTime(text).has_value());
+        CHECK_FALSE(parseDuration(text).has_value());
     }
 }
--- a/test/fuzz/PlatformMessages.cpp
+++ b/test/fuzz/PlatformMessages.cpp
@@ -1,4 +1,5 @@
 // Documents, heartbeats and departures of the platform, from any bytes.
+#include "common/Duration.h"
 #include "platform/Dialect.h"
 
 #include <cstddef>
@@ -10,6 +11,6 @@
     (void)kumquat::platform::parseDocument(text);
     (void)kumquat::platform::parseHeartbeat("i-1", text);
     (void)kumquat::platform::parseDeparture("i-1", text);
-    (void)kumquat::platform::parseTime(text);
+    (void)kumquat::parseDuration(text);
     return 0;
 }
--- a/test/processes/platform_fleet.py
+++ b/test/processes/platform_fleet.py
@@ -59,10 +59,14 @@
 
     def fields(self, name, first):
         return {"NodeName": name, "Zone": "zone-" + name[-1], "SeedNodes": self.controls[:3],
-                "IpAddress": "127.0.0.1", "InternalPortRange": [self.free_port(name)],
+                "IpAddress": self.own_address(name), "InternalPortRange": [self.free_port(name)],
                 "Bootstrap": first, "FaultTolerance": {"Machines": 1}, "Heartbeat": "1500ms",
                 "DataDir": os.path.join(self.folder, name + ".data"),
-                "Bounds": {"RetryBudgetRatio": 0.2, "BudgetSlack": 64}}
+                "Bounds": {"RetryBudgetRatio": 0.2, "BudgetSlack": 64, "Grace": "6s"}}
+
+    def own_address(self, name):
+        """An address of its own for each process: some ports are the same on all instances."""
+        return f"127.0.{1 if name.startswith('control') else 2}.{10 + int(name[-1])}"
 
     def free_port(self, name):
         """A port of its own for each process, in the place of one for each instance."""
--- a/test/processes/test_platform.py
+++ b/test/processes/test_platform.py
@@ -81,6 +81,16 @@
         with open(self.fleet.processes[name].log) as file:
             return file.read()
 
+    def test_metrics_are_served_on_their_own_address(self):
+        self.fleet.request(0, "/lookup/x")
+        for name in ("entry-0", "control-0"):
+            address = self.fleet.own_address(name) + ":9464"
+            text = self.fleet.call(address, "GET", "/metrics")[2].decode()
+            self.assertIn("# TYPE kumquat_", text)
+        text = self.fleet.call(self.fleet.own_address("entry-0") + ":9464", "GET", "/metrics")[2]
+        self.assertRegex(text.decode(),
+                         r'kumquat_request_duration_ms_bucket\{service="catalogue",le="500"\} [1-9]')
+
     def test_an_acknowledged_departure_ends_new_work(self):
         body = self.fleet.call(self.fleet.admin, "GET", "/drain/catalogue-0")
         self.assertEqual(body[0], 200)
