Rebuild a routing table only where targets have changed; gather news for 15 ms

Change: targets that have not changed are used again, records are visited once without copies; a member answers a waiting poll 15 ms after the first news, with all that came meanwhile.

--- a/src/coordination/control/TargetRegistry.cpp
+++ b/src/coordination/control/TargetRegistry.cpp
@@ -24,6 +24,8 @@
 constexpr Milliseconds forgetFollowerAfter { 30'000 };
 constexpr Milliseconds acknowledgementCheck { 5 };
 constexpr Milliseconds longestWait { 5'000 };
+/// What is new is told after this, with what has become new meanwhile.
+constexpr Milliseconds gatherTime { 15 };
 
 HttpResponse errorAnswer(http::status status, const absl::Status &error)
 {
@@ -161,7 +163,8 @@
 
 void TargetRegistry::waitForNews(const FeedPoll &poll, std::uint64_t known, Yield yield)
 {
-    const TimePoint end = Clock::now() + std::min(Milliseconds(poll.waitMs), longestWait);
+    const TimePoint start = Clock::now();
+    const TimePoint end = start + std::min(Milliseconds(poll.waitMs), longestWait);
     while (feed_.cursor() <= known && !hooks_.hasNewerConfiguration(poll) && Clock::now() < end) {
         Timer timer(context_, end);
         ErrorCode ignored;
@@ -169,6 +172,11 @@
         timer.async_wait(yield[ignored]);
         waiting_.erase(&timer);
     }
+    // Changes come together: a release, a configuration, a loss of power. One answer carries them.
+    const TimePoint now = Clock::now();
+    if (now > start && now + gatherTime < end) {
+        pauseFor(context_, gatherTime, yield);
+    }
 }
 
 FeedAnswer TargetRegistry::answerTo(const FeedPoll &poll, Follower &follower)
--- a/src/coordination/entry/EntryCoordinator.cpp
+++ b/src/coordination/entry/EntryCoordinator.cpp
@@ -385,8 +385,35 @@
     return stats;
 }
 
+// Targets change one by one while a service is replaced, so what has not changed is used again.
+TargetPtr EntryCoordinator::targetOf(const TargetRecord &record, TimePoint now)
+{
+    const auto stats = statsOf(record, now);
+    TargetPtr &present = published_[record.name];
+    const bool same = present && present->stats == stats
+        && present->record.version == record.version && present->record.state == record.state;
+    if (!same) {
+        present
+            = std::make_shared<const Target>(Target { record, { record.ip, record.port }, stats });
+    }
+    return present;
+}
+
+EntryCoordinator::ServiceTargets EntryCoordinator::targetsByService(TimePoint now)
+{
+    ServiceTargets targets;
+    membership_.forEach([this, now, &targets](const TargetRecord &record) {
+        if (record.state <= TargetState::ready) {
+            targets[record.service].push_back(targetOf(record, now));
+        } else {
+            published_.erase(record.name);
+        }
+    });
+    return targets;
+}
+
 std::shared_ptr<const ActiveService> EntryCoordinator::activeService(const Service &service,
-                                                                     TimePoint now)
+                                                                     std::vector<TargetPtr> targets)
 {
     auto &runtime = runtimes_[service.name];
     if (!runtime) {
@@ -401,12 +428,7 @@
     active->runtime = runtime;
     active->entries = liveEntries();
     active->failureDomain = settings_.failureDomain;
-    for (const TargetRecord &record : membership_.all()) {
-        if (record.service == service.name && record.state <= TargetState::ready) {
-            active->targets.push_back(std::make_shared<const Target>(
-                Target { record, { record.ip, record.port }, statsOf(record, now) }));
-        }
-    }
+    active->targets = std::move(targets);
     if (sharing_) {
         divideTargets(*active);
     }
@@ -434,8 +456,9 @@
     const TimePoint now = Clock::now();
     auto table = std::make_shared<RoutingTable>();
     table->version = version_;
+    ServiceTargets targets = targetsByService(now);
     for (const Service &service : configuration_.services) {
-        table->services.push_back(activeService(service, now));
+        table->services.push_back(activeService(service, std::move(targets[service.name])));
     }
     table->hostRoutes = hostRoutes_;
     table->callerLimits = configuration_.callerLimits;
--- a/src/coordination/entry/EntryCoordinator.h
+++ b/src/coordination/entry/EntryCoordinator.h
@@ -89,7 +89,12 @@
     /// Publishes a new routing table soon; changes that come together share one.
     void publish();
     void publishNow();
-    std::shared_ptr<const ActiveService> activeService(const Service &service, TimePoint now);
+    using ServiceTargets = std::unordered_map<std::string, std::vector<TargetPtr>>;
+
+    ServiceTargets targetsByService(TimePoint now);
+    TargetPtr targetOf(const TargetRecord &record, TimePoint now);
+    std::shared_ptr<const ActiveService> activeService(const Service &service,
+                                                       std::vector<TargetPtr> targets);
     std::shared_ptr<TargetStats> statsOf(const TargetRecord &record, TimePoint now);
     void suspectRequest(const RequestSuspicion &suspicion);
 
@@ -130,6 +135,7 @@
     bool controlReachable_ = false;
     std::map<std::string, std::shared_ptr<ServiceRuntime>> runtimes_;
     std::map<std::string, std::shared_ptr<TargetStats>> stats_;
+    std::unordered_map<std::string, TargetPtr> published_; ///< as in the last routing table
     std::map<std::string, Lease> leases_;
     TokenBucket probeBudget_;
     std::uint64_t probesSent_ = 0;
--- a/src/coordination/entry/EntryFeed.cpp
+++ b/src/coordination/entry/EntryFeed.cpp
@@ -112,10 +112,12 @@
     }
     const std::vector<bool> own = ownSubset(ranks, subsetEntries_.all.size());
     for (std::size_t i = 0; i < own.size(); ++i) {
-        if (!own[i]) {
-            Target other = *service.targets[i];
-            other.inSubset = false;
-            service.targets[i] = std::make_shared<const Target>(std::move(other));
+        TargetPtr &target = service.targets[i];
+        if (own[i] != target->inSubset) {
+            Target changed = *target;
+            changed.inSubset = own[i];
+            target = std::make_shared<const Target>(std::move(changed));
+            published_[target->record.name] = target;
         }
     }
 }
--- a/src/coordination/membership/Membership.cpp
+++ b/src/coordination/membership/Membership.cpp
@@ -51,6 +51,13 @@
     return result;
 }
 
+void Membership::forEach(const std::function<void(const TargetRecord &)> &visit) const
+{
+    for (const auto &entry : records_) {
+        visit(entry.second.record);
+    }
+}
+
 Membership::Digest Membership::digest() const
 {
     Digest digest {};
--- a/src/coordination/membership/Membership.h
+++ b/src/coordination/membership/Membership.h
@@ -28,6 +28,7 @@
 
     const TargetRecord *find(const std::string &name) const;
     std::vector<TargetRecord> all() const;
+    void forEach(const std::function<void(const TargetRecord &)> &visit) const;
     std::size_t size() const { return records_.size(); }
 
     /// A hash a bucket over names, incarnations and states; equal tables have equal digests.
