--- a/daemons/Ctl.cpp
+++ b/daemons/Ctl.cpp
@@ -1,4 +1,5 @@
 // kumquatctl: the operator's tool; talks JSON-RPC to the control group.
+#include "common/Explanation.h"
 #include "common/JsonReader.h"
 #include "common/Random.h"
 #include "kumquat/Configuration.h"
@@ -10,6 +11,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <thread>
@@ -40,7 +42,9 @@
                          "  watch            print each new version in force\n"
                          "  dump             print the state of the process at --address\n"
                          "  drain NAME       drain a target, through the entry at --address\n"
-                         "  once show SERVICE KEY   show the record of a once-request";
+                         "  once show SERVICE KEY   show the record of a once-request\n"
+                         "  explain ID LOG...       tell what became of a request, from the logs "
+                         "of all processes";
 
 int fail(const std::string &message)
 {
@@ -254,6 +258,23 @@
     return answer->result() == http::status::ok ? 0 : 1;
 }
 
+int explain(const std::string &request, const std::vector<std::string> &files)
+{
+    std::vector<std::string> lines;
+    for (const std::string &file : files) {
+        std::ifstream stream(file);
+        if (!stream) {
+            return fail("cannot read " + file + "; remedy: name the logs' files");
+        }
+        for (std::string line; std::getline(stream, line);) {
+            lines.push_back(std::move(line));
+        }
+    }
+    const Explanation explanation = explainRequest(readRecords(lines), request);
+    std::cout << explanationText(explanation);
+    return explanation.found ? 0 : 1;
+}
+
 int run(const std::vector<std::string> &words, ControlTool &tool)
 {
     const std::string &command = words[0];
@@ -289,6 +310,9 @@
         parameters["key"] = words[3];
         return print(tool.call("onceShow", parameters));
     }
+    if (command == "explain" && words.size() > 2) {
+        return explain(first, { words.begin() + 2, words.end() });
+    }
     return fail(usage);
 }
 
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -1,6 +1,7 @@
 #include "coordination/entry/EntryWorker.h"
 
 #include "coordination/entry/Call.h"
+#include "kumquat/Event.h"
 #include "protocol/Headers.h"
 #include "protocol/Wire.h"
 #include "transport/Spawn.h"
@@ -114,7 +115,7 @@
         return;
     }
     if (!core_.ready || !core_.isFresh()) {
-        (void)caller.writeWhole(refusal(RefusalReason::notReady, RunOutcome::notRun), yield);
+        refuseUnrouted(caller, RefusalReason::notReady, yield);
         return;
     }
     if (!core_.dialect->headers.sendingId.empty()) {
@@ -124,8 +125,7 @@
     const RouteMatch match
         = core_.routing.read()->match(std::string(caller.header().method_string()), path);
     if (!match.service) {
-        ++core_.unrouted;
-        (void)caller.writeWhole(refusal(RefusalReason::noRoute, RunOutcome::notRun), yield);
+        refuseUnrouted(caller, RefusalReason::noRoute, yield);
         return;
     }
     Milliseconds allowed = match.service->configuration.deadline;
@@ -134,6 +134,19 @@
     admit(caller, match, start + allowed, yield);
 }
 
+void EntryWorker::refuseUnrouted(CallerConnection &caller, RefusalReason reason, Yield yield)
+{
+    if (reason == RefusalReason::noRoute) {
+        ++core_.unrouted;
+    }
+    const std::string &name = core_.dialect->headers.sendingId;
+    const std::string id = name.empty() ? "" : std::string(caller.header()[name]);
+    logEvent(Event::requestRefused, LogLevel::info, "request={} version={} reason={} run=no",
+             id.empty() ? "none" : id, core_.routing.read()->version.number,
+             refusalReasonName(reason));
+    (void)caller.writeWhole(refusal(reason, RunOutcome::notRun), yield);
+}
+
 void EntryWorker::admit(CallerConnection &caller, const RouteMatch &match, TimePoint deadline,
                         Yield yield)
 {
@@ -175,8 +188,7 @@
     const auto routing = core_.routing.read();
     const ActiveRoutePtr route = routing->matchHost({ host.data(), host.size() }, path);
     if (!route) {
-        ++core_.unrouted;
-        (void)caller.writeWhole(refusal(RefusalReason::noRoute, RunOutcome::notRun), yield);
+        refuseUnrouted(caller, RefusalReason::noRoute, yield);
         return;
     }
     const HeaderNames &names = core_.dialect->headers;
@@ -206,6 +218,11 @@
 {
     const auto refuseWith = [&request, yield](RefusalReason reason) {
         ++request.service->runtime->counters.refused[static_cast<std::size_t>(reason)];
+        logEvent(Event::requestRefused, LogLevel::info,
+                 "request={} route={} service={} version={} reason={} run=no sendings=0",
+                 request.sendingId, request.route->configuration.name,
+                 request.service->configuration.name, request.version.number,
+                 refusalReasonName(reason));
         (void)request.caller.writeWhole(refusal(reason, RunOutcome::notRun), yield);
         return false;
     };
--- a/src/coordination/entry/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -36,6 +36,7 @@
     void handle(CallerConnection &caller, Yield yield);
     void admit(CallerConnection &caller, const RouteMatch &match, TimePoint deadline, Yield yield);
     void serveHostRoute(CallerConnection &caller, TimePoint start, Yield yield);
+    void refuseUnrouted(CallerConnection &caller, RefusalReason reason, Yield yield);
     bool readRouted(RoutedRequest &request, Yield yield);
     bool prepare(Call &call, RequestKind kind, Yield yield);
 
--- a/src/coordination/entry/RoutedCall.cpp
+++ b/src/coordination/entry/RoutedCall.cpp
@@ -62,6 +62,9 @@
 private:
     bool repeatable() const { return route_.kind == RequestKind::idempotent; }
 
+    /// The target of the last sending.
+    std::string lastTarget() const { return tried_.empty() ? "none" : tried_.back(); }
+
     // Placement.
     TargetPtr place(Yield yield);
     void waitForPlace(TimePoint until, Yield yield);
@@ -337,8 +340,9 @@
     const auto elapsed = Clock::now() - request_.arrival;
     if (elapsed > route_.latencyObjective) {
         logEvent(Event::requestLate, LogLevel::info,
-                 "request={} route={} status={} ms={} sendings={}", request_.sendingId, route_.name,
-                 response.result_int(), static_cast<int>(toMilliseconds(elapsed)), sendings_);
+                 "request={} route={} target={} status={} ms={} sendings={}", request_.sendingId,
+                 route_.name, lastTarget(), response.result_int(),
+                 static_cast<int>(toMilliseconds(elapsed)), sendings_);
     }
     removeHopByHop(response);
     ++runtime_.counters.answered;
@@ -351,11 +355,12 @@
 {
     const bool ran = runs_ > 0;
     ++runtime_.counters.refused[static_cast<std::size_t>(reason)];
-    logEvent(ran ? Event::requestFailed : Event::requestRefused, LogLevel::info,
-             "request={} route={} service={} version={} reason={} run={} sendings={} ms={}",
-             request_.sendingId, route_.name, service_.configuration.name, request_.version.number,
-             refusalReasonName(reason), ran ? "unknown" : "no", sendings_,
-             static_cast<int>(toMilliseconds(Clock::now() - request_.arrival)));
+    logEvent(
+        ran ? Event::requestFailed : Event::requestRefused, LogLevel::info,
+        "request={} route={} service={} version={} reason={} run={} target={} sendings={} ms={}",
+        request_.sendingId, route_.name, service_.configuration.name, request_.version.number,
+        refusalReasonName(reason), ran ? "unknown" : "no", lastTarget(), sendings_,
+        static_cast<int>(toMilliseconds(Clock::now() - request_.arrival)));
     HttpResponse response = refusal(reason, ran ? RunOutcome::unknown : RunOutcome::notRun);
     if (!ran && response.count(http::field::retry_after) > 0) {
         const auto pause = returnAfter(route_.latencyObjective, request_.worker.random());
--- /dev/null
+++ b/test/correctness/RequestsExplained.cpp
@@ -0,0 +1,69 @@
+// The lines of all processes about one request are joined, with what its process knew, and its
+// cause.
+#include "TestSupport.h"
+#include "common/Explanation.h"
+
+#include <absl/strings/match.h>
+
+using namespace kumquat;
+
+namespace {
+
+const std::vector<std::string> lines {
+    R"({"time":"10:00:04","level":"info","process":"e1","event":332,"request":"r1","route":"a",)"
+    R"("reason":"target-failed","run":"unknown","sendings":"2"})",
+    R"(  3.1 e1 {"time":"10:00:01","level":"info","process":"e1","event":200,"version":"1.7"})",
+    R"({"time":"10:00:02","level":"info","process":"e1","event":301,"target":"t1","state":"draining"})",
+    R"({"time":"10:00:02","level":"info","process":"e2","event":300,"target":"t1","state":"ready"})",
+    R"({"time":"10:00:03","level":"info","process":"e1","event":331,"request":"r1","target":"t1",)"
+    R"("end":"broken"})",
+    R"({"time":"10:00:05","level":"info","process":"e1","event":330,"request":"r2",)"
+    R"("reason":"overloaded","run":"no"})",
+    R"({"time":"10:00:09","level":"info","process":"e1","event":203,"member":"c1"})",
+    "not a line of a log {",
+    "",
+};
+
+} // namespace
+
+TEST_GROUP(RequestsExplained)
+{
+    std::vector<LogRecord> records = readRecords(lines);
+};
+
+TEST(RequestsExplained, linesOfOneRequestAreJoinedByTime)
+{
+    const Explanation explanation = explainRequest(records, "r1");
+    CHECK_TRUE(explanation.found);
+    LONGS_EQUAL(2, explanation.request.size());
+    LONGS_EQUAL(331, explanation.request[0].event);
+    LONGS_EQUAL(332, explanation.request[1].event);
+}
+
+TEST(RequestsExplained, aTargetIsShownAsTheSameProcessKnewIt)
+{
+    const Explanation explanation = explainRequest(records, "r1");
+    LONGS_EQUAL(1, explanation.targets.size());
+    STRCMP_EQUAL("e1", explanation.targets[0].process.c_str());
+    STRCMP_EQUAL("draining", explanation.targets[0].value("state").c_str());
+}
+
+TEST(RequestsExplained, whatTheProcessTookBeforeIsShownAndNothingLater)
+{
+    const Explanation explanation = explainRequest(records, "r1");
+    LONGS_EQUAL(1, explanation.process.size());
+    LONGS_EQUAL(200, explanation.process[0].event);
+}
+
+TEST(RequestsExplained, theReasonGivesTheCause)
+{
+    CHECK_TRUE(absl::StrContains(explainRequest(records, "r1").cause, "whether it ran is unknown"));
+    CHECK_TRUE(absl::StrContains(explainRequest(records, "r2").cause, "it has not run"));
+}
+
+TEST(RequestsExplained, aRequestThatNoLineNamesIsSaidSo)
+{
+    const Explanation explanation = explainRequest(records, "r3");
+    CHECK_FALSE(explanation.found);
+    CHECK_TRUE(absl::StrContains(explanationText(explanation), "no line names this request"));
+}
