--- a/src/common/Event.cpp
+++ b/src/common/Event.cpp
@@ -11,7 +11,9 @@
 
 namespace {
 
-constexpr std::size_t queueLength = 8192;
+/// Lines that wait for the writer; each takes about 400 bytes from the start on. A kind of line
+/// passes 200 times a second, and the writer is late by fractions of a second at most.
+constexpr std::size_t queueLength = 1'024;
 
 spdlog::level::level_enum spdlogLevel(LogLevel level)
 {
