Callers' limits of the configuration hold: header size and time, idle time

Cause: CallerConnection kept constants of its own (16 KiB, 10 s, 60 s); only the body's limit came from the configuration. Test: the process test fails without it (no 431 at 4,000 bytes of header, the idle connection stays open for 60 s).

--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -98,8 +98,11 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     const auto caller = std::make_shared<CallerConnection>(loop_, std::move(socket));
     callers_.insert(caller);
+    CallerHooks hooks;
+    hooks.stopping = [this] { return core_.stopping.load(); };
+    hooks.limits = [this] { return core_.routing.read()->callerLimits; };
     caller->serve([this](CallerConnection &connection, Yield inner) { handle(connection, inner); },
-                  [this] { return core_.stopping.load(); }, yield);
+                  std::move(hooks), yield);
     callers_.erase(caller);
 }
 
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -9,17 +9,14 @@
 
 namespace {
 
-constexpr std::size_t maxHeaderBytes = 16 * 1024;
 constexpr std::size_t partBytes = 64 * 1024;
 constexpr std::size_t firstReadBytes = 4 * 1024;
-constexpr Seconds headerReadTime { 10 };
-constexpr Seconds keepAliveTime { 60 };
 constexpr Seconds writeTime { 30 };
 
 } // namespace
 
 CallerConnection::CallerConnection(asio::io_context &context, TcpSocket socket)
-    : context_(context), stream_(std::move(socket)), buffer_(maxHeaderBytes + partBytes)
+    : context_(context), stream_(std::move(socket))
 {
 }
 
@@ -29,9 +26,9 @@
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
-void CallerConnection::serve(const Handler &handler, std::function<bool()> stopping, Yield yield)
+void CallerConnection::serve(const Handler &handler, CallerHooks hooks, Yield yield)
 {
-    stopping_ = std::move(stopping);
+    hooks_ = std::move(hooks);
     do {
         if (!readHeader(yield)) {
             break;
@@ -48,16 +45,16 @@
 // A body that nobody will read would be taken for the next request.
 bool CallerConnection::keepsAlive() const
 {
-    return !closing_ && !stopping_() && parser_->is_header_done() && bodyRead()
+    return !closing_ && !hooks_.stopping() && parser_->is_header_done() && bodyRead()
         && parser_->get().keep_alive();
 }
 
 // Waits long for the first byte of a request, then only shortly for the rest of its header.
-ErrorCode CallerConnection::waitForRequest(Yield yield)
+ErrorCode CallerConnection::waitForRequest(Milliseconds idleTimeout, Yield yield)
 {
     ErrorCode error;
     waiting_ = true;
-    stream_.expires_after(keepAliveTime);
+    stream_.expires_after(idleTimeout);
     const std::size_t bytes
         = stream_.async_read_some(buffer_.prepare(firstReadBytes), yield[error]);
     buffer_.commit(bytes);
@@ -67,16 +64,19 @@
 
 bool CallerConnection::readHeader(Yield yield)
 {
+    const CallerLimits limits = hooks_.limits();
+    const auto headerBytes = static_cast<std::size_t>(limits.maxHeaderBytes);
+    buffer_.max_size(std::max(buffer_.size(), headerBytes + partBytes));
     parser_.emplace();
-    parser_->header_limit(maxHeaderBytes);
+    parser_->header_limit(static_cast<std::uint32_t>(headerBytes));
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     continued_ = false;
     ErrorCode error;
     if (buffer_.size() == 0) {
-        error = waitForRequest(yield);
+        error = waitForRequest(limits.idleTimeout, yield);
     }
     if (!error) {
-        stream_.expires_after(headerReadTime);
+        stream_.expires_after(limits.headerTimeout);
         http::async_read_header(stream_, buffer_, *parser_, yield[error]);
     }
     const bool malformed = error && error != http::error::end_of_stream
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -4,12 +4,21 @@
 /// The handler decides what becomes of a request; this class only keeps HTTP in order.
 
 #include "common/Time.h"
+#include "kumquat/Configuration.h"
 #include "transport/HttpServer.h"
 
 #include <optional>
 
 namespace kumquat {
 
+/// What a connection asks of the entry before each request.
+struct CallerHooks
+{
+    std::function<bool()>
+        stopping; ///< while it holds, answers tell the caller to connect elsewhere
+    std::function<CallerLimits()> limits; ///< of the configuration in force
+};
+
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -20,8 +29,8 @@
     CallerConnection(asio::io_context &context, TcpSocket socket);
 
     /// Serves requests until the caller or the process ends the connection.
-    /// Answers sent while \p stopping holds tell the caller to connect elsewhere.
-    void serve(const Handler &handler, std::function<bool()> stopping, Yield yield);
+    /// Serves one request after another until the connection ends.
+    void serve(const Handler &handler, CallerHooks hooks, Yield yield);
 
     asio::io_context &context() { return context_; }
     const http::request_header<> &header() const { return parser_->get(); }
@@ -56,12 +65,12 @@
     ErrorCode continueIfExpected(Yield yield);
     void watch();
     void answerMalformed(ErrorCode error, Yield yield);
-    ErrorCode waitForRequest(Yield yield);
+    ErrorCode waitForRequest(Milliseconds idleTimeout, Yield yield);
     bool readHeader(Yield yield);
 
     asio::io_context &context_;
     TcpStream stream_;
-    std::function<bool()> stopping_;
+    CallerHooks hooks_;
     beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     std::shared_ptr<std::function<void()>> departure_;
--- a/test/processes/platform_fleet.py
+++ b/test/processes/platform_fleet.py
@@ -38,7 +38,9 @@
               "Priority": 1, "Match": {"PathPrefix": prefix},
               "Action": {"Service": service, "Timeout": "3000ms", "Attempts": 2}}
              for prefix, kind, service in routes]
-    return {"Version": f"{version:08x}", "Listeners": [{"Hostname": HOST, "Rules": rules}],
+    limits = {"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeout": "3000ms",
+              "IdleTimeout": "15000ms"}
+    return {"Version": f"{version:08x}", "Limits": limits, "Listeners": [{"Hostname": HOST, "Rules": rules}],
             "Clusters": [{"Name": name, "HealthPath": "/health", "MaxConnections": 250,
                           "Protocol": "h1", "Tls": False} for name, _, _ in SERVICES]}
 
--- a/test/processes/test_platform.py
+++ b/test/processes/test_platform.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import unittest
 
 from platform_fleet import Callers, PlatformFleet, document
@@ -81,6 +82,18 @@
         with open(self.fleet.processes[name].log) as file:
             return file.read()
 
+    def test_the_limits_of_the_document_hold_for_callers(self):
+        limited = document(9)
+        limited["Limits"].update(MaxHeaderBytes=2048, MaxBodyBytes=1000, IdleTimeout="400ms")
+        self.fleet.put(limited)
+        long = {"Host": "quotes.example", "X-Long": "h" * 4000}
+        wait_until(lambda: self.fleet.call(self.fleet.callers[0], "GET", "/lookup/x",
+                                           headers=long)[0] == 431, 10, "the limit to be in force")
+        self.assertEqual(self.fleet.request(0, "/book/x", "POST", b"b" * 2000)[0], 413)
+        host, port = self.fleet.callers[0].split(":")
+        with socket.create_connection((host, int(port)), timeout=10) as idle:
+            self.assertEqual(idle.recv(1), b"")
+
     def test_metrics_are_served_on_their_own_address(self):
         self.fleet.request(0, "/lookup/x")
         for name in ("entry-0", "control-0"):
