--- a/include/kumquat/Settings.h
+++ b/include/kumquat/Settings.h
@@ -32,8 +32,7 @@
     /// Some members of the control group, which tell of the others and of the targets; in the
     /// place of `gossipAddress`, `gossipPeers` and `controlMembers`.
     std::vector<std::string> controlSeeds;
-    std::string
-        metricsAddress; ///< where metrics are served besides `internalAddress`; may be empty
+    std::string metricsAddress; ///< for metrics, besides `internalAddress`; may be empty
     std::string reportAddress; ///< for datagrams between entries about targets' load; may be empty
     std::string clusterKeyFile; ///< empty: messages between processes are not signed
     SharedRetryBudget retryBudget;
--- a/test/processes/platform_fleet.py
+++ b/test/processes/platform_fleet.py
@@ -68,11 +68,11 @@
 
     def own_address(self, name):
         """An address of its own for each process: some ports are the same on all instances."""
-        return f"127.0.{1 if name.startswith('control') else 2}.{10 + int(name[-1])}"
+        return f"127.0.{1 if name.startswith('control') else 2}.{10 + int(name.split('-')[1])}"
 
     def free_port(self, name):
         """A port of its own for each process, in the place of one for each instance."""
-        return 9301 + self.base + int(name[-1])
+        return 9301 + self.base + int(name.split('-')[1])
 
     def rewrite_settings(self, name, template, seeds):
         """Renders a running entry's settings again, with other seeds."""
--- /dev/null
+++ b/test/soak/soak.py
@@ -0,0 +1,338 @@
+"""A seeded soak of the real programs under faults from outside; it checks what they promise.
+
+    python3 test/soak/soak.py --seed 1 --seconds 20 --processes 8
+
+Ends with 0 when every promise held. A seed that failed goes into test/soak/regressions/ with a
+line on the cause; --regressions plays all of them. The verdict does not depend on how fast the
+machine is: promises without a time are checked all the while, recovery with a wide bound.
+"""
+
+import argparse
+import glob
+import http.client
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import threading
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [os.path.join(HERE, "..", "processes"), os.path.join(HERE, "..", "..", "scripts")]
+
+from faulty_proxy import FaultyProxy  # noqa: E402
+from platform_fleet import HOST, PlatformFleet, document  # noqa: E402
+from support import wait_until  # noqa: E402
+
+PROMISES = (408, 421, 429, 503)
+RECOVERY_SECONDS = 60
+CALLERS_PER_ENTRY = 3
+BASE = 700  # ports apart from those of the other suites
+
+
+class Findings:
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.lines = []
+
+    def add(self, line):
+        with self.lock:
+            self.lines.append(line)
+
+
+class Caller(threading.Thread):
+    """Sends requests through a proxy, on kept and on new connections, and checks each answer."""
+
+    def __init__(self, soak, name, address, seed):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.prefix = name
+        self.address = address
+        self.random = random.Random(seed)
+        self.told = []
+        self.count = 0
+        self.start()
+
+    def run(self):
+        connection = None
+        while not self.soak.ended.is_set():
+            if connection is None or self.random.random() < 0.3:
+                if connection:
+                    connection.close()
+                connection = http.client.HTTPConnection(self.address, timeout=4)
+            try:
+                self.send(connection)
+            except (OSError, http.client.HTTPException):
+                connection.close()
+                connection = None
+                time.sleep(0.02)
+
+    def send(self, connection):
+        self.count += 1
+        sending = f"{self.prefix}{self.count:010x}"
+        books = self.random.random() < 0.5
+        size = self.random.choice((0, 100, 30_000))
+        method, path = ("POST", "/book/x") if books else ("GET", f"/lookup/x?size={size}")
+        body = b"b" * size if books else None
+        if books:
+            self.told.append([sending, 0])
+        connection.request(method, path, body, {
+            "Host": HOST, "Kumquatdeal-Request-Id": sending, "Kumquatdeal-Deadline-Ms": "3000"})
+        answer = connection.getresponse()
+        data = answer.read()
+        if books:
+            self.told[-1][1] = answer.status
+        if answer.status == 200:
+            self.check(answer, data, sending, size, books)
+
+    def check(self, answer, data, sending, size, books):
+        if answer.getheader("Kumquatdeal-Request-Id") != sending:
+            self.soak.findings.add(f"{sending}: the answer belongs to another request")
+        if not answer.getheader("Kumquatdeal-Response-Stamp"):
+            self.soak.findings.add(f"{sending}: a success without the target's stamp")
+        whole = json.loads(data)["received"] == size if books else len(data) >= size
+        if not whole:
+            self.soak.findings.add(f"{sending}: the answer is not whole")
+
+
+class Operator(threading.Thread):
+    """Sends rising documents to any member, and reads them back from any."""
+
+    def __init__(self, soak, seed):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.random = random.Random(seed)
+        self.sent = 1
+        self.acknowledged = 1
+        self.start()
+
+    def run(self):
+        while not self.soak.ended.is_set():
+            fleet = self.soak.fleet
+            member = self.random.randrange(len(fleet.controls))
+            if self.random.random() < 0.4:
+                self.sent += self.random.randrange(1, 4)
+                if fleet.try_put(document(self.sent), member) == 200:
+                    self.acknowledged = max(self.acknowledged, self.sent)
+            else:
+                self.read(member)
+            time.sleep(0.1)
+
+    def read(self, member):
+        expected = self.acknowledged
+        found = self.soak.fleet.read(member)
+        if found is not None and int(found["Version"], 16) < expected:
+            self.soak.findings.add(f"member {member} read {found['Version']} after {expected:08x}")
+
+
+class Soak:
+    def __init__(self, seed, seconds, processes):
+        self.random = random.Random(seed)
+        self.seed = seed
+        self.seconds = seconds
+        self.ended = threading.Event()
+        self.findings = Findings()
+        entries = max(1, processes - 4)  # three members and the stand-in targets
+        self.fleet = PlatformFleet(BASE, 3, entries)
+        self.busy = set()  # processes that have a fault now
+        self.timers = []
+
+    # Faults: each begins now and gives what ends it, or nothing.
+
+    def freeze(self, name):
+        process = self.fleet.processes[name]
+        process.signal(signal.SIGSTOP)
+        return lambda: process.signal(signal.SIGCONT)
+
+    def kill(self, name):
+        self.fleet.processes[name].kill()
+        return lambda: self.start(name)
+
+    def term(self, name):
+        process = self.fleet.processes[name]
+        process.signal(signal.SIGTERM)
+
+        def end():
+            process.handle.wait(30)
+            self.start(name)
+        return end
+
+    def hup(self, name):
+        self.fleet.processes[name].signal(signal.SIGHUP)
+        return lambda: None
+
+    def start(self, name):
+        kind, number = name.split("-")
+        launch = self.fleet.start_control if kind == "control" else self.fleet.start_entry
+        launch(int(number))
+
+    def targets(self, service):
+        fault = self.random.choice(({"silent": True}, {"truncateShare": 0.3}, {"slowdown": 8},
+                                    {"failShare": 0.5}))
+        self.fleet.behave(service, **fault)
+        calm = {"silent": False, "truncateShare": 0, "slowdown": 1, "failShare": 0}
+        return lambda: self.fleet.behave(service, **calm)
+
+    def proxy(self, number):
+        proxy = self.proxies[number]
+        proxy.delay = self.random.uniform(0.05, 0.4)
+        proxy.mode = self.random.choice(("delay", "silence", "one-way", "refuse"))
+
+        def end():
+            proxy.mode = "pass"
+            proxy.reset_all()
+        return end
+
+    def wipe(self, name):
+        """Only with all voters in place: no more disks are lost at once than are tolerated."""
+        if any(other.startswith("control") for other in self.busy - {name}):
+            return None
+        if self.voters() == 3:
+            self.fleet.wipe(int(name.split("-")[1]))
+        return None
+
+    def voters(self):
+        counts = set()
+        for address in self.fleet.controls:
+            try:
+                dump = json.loads(self.fleet.call(address, "GET", "/kumquat/v1/dump", timeout=1)[2])
+            except (OSError, ValueError, http.client.HTTPException):
+                return 0
+            counts.add(tuple(sorted(m["address"] for m in dump["members"] if m["voter"])))
+            if not dump["voter"]:
+                return 0
+        return len(counts.pop()) if len(counts) == 1 else 0
+
+    def begin_one(self):
+        names = [f"control-{i}" for i in range(3)]
+        names += [f"entry-{i}" for i in range(len(self.fleet.callers))]
+        faults = [(self.freeze, names), (self.kill, names), (self.hup, names),
+                  (self.term, names[3:]), (self.wipe, names[:3]),
+                  (self.targets, ["catalogue", "orders"]),
+                  (self.proxy, list(range(len(self.fleet.callers))))]
+        fault, where = self.random.choice(faults)
+        place = self.random.choice(where)
+        key = str(place) if fault is not self.proxy else f"proxy-{place}"
+        if key in self.busy:
+            return
+        self.busy.add(key)
+        ending = fault(place)
+        self.later(self.random.uniform(0.2, 3.0), key, ending)
+
+    def kill_all_members(self):
+        for i in range(3):
+            if f"control-{i}" not in self.busy:
+                self.fleet.processes[f"control-{i}"].kill()
+                self.fleet.start_control(i)
+
+    def later(self, seconds, key, ending):
+        def end():
+            if ending:
+                ending()
+            self.busy.discard(key)
+        timer = threading.Timer(seconds, end)
+        self.timers.append(timer)
+        timer.start()
+
+    # The run.
+
+    def run(self):
+        self.fleet.start()
+        self.proxies = [FaultyProxy(address) for address in self.fleet.callers]
+        callers = [Caller(self, f"a{i:02x}{j:02x}0", proxy.address, self.seed * 1000 + i * 10 + j)
+                   for i, proxy in enumerate(self.proxies) for j in range(CALLERS_PER_ENTRY)]
+        operator = Operator(self, self.seed)
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            self.begin_one()
+            if self.random.random() < 0.05:
+                self.kill_all_members()
+            time.sleep(self.random.uniform(0.05, 1.0))
+        for timer in self.timers:
+            timer.join()
+        # Many callers can fill all targets for good, and then a refusal is no lack of recovery.
+        self.ended.set()
+        for thread in callers + [operator]:
+            thread.join(15)
+        self.check_recovery(operator)
+        self.check_runs(callers)
+        return self.findings.lines
+
+    def check_recovery(self, operator):
+        try:
+            wait_until(self.fleet.serves, RECOVERY_SECONDS, "all entries to serve")
+            wait_until(lambda: self.fleet.read(0) is not None, RECOVERY_SECONDS, "a member to read")
+            wait_until(lambda: self.voters() == 3, RECOVERY_SECONDS, "three voters")
+        except RuntimeError as error:
+            self.findings.add(f"no recovery: {error}")
+        if operator.acknowledged == 1:
+            self.findings.add("no document was ever acknowledged")
+
+    def check_runs(self, callers):
+        runs = self.fleet.report()["runs"]
+        for sending, status in (item for caller in callers for item in caller.told):
+            ran = runs.get(sending, 0)
+            if ran > 1:
+                self.findings.add(f"{sending} ran {ran} times")
+            if status in PROMISES and ran > 0:
+                self.findings.add(f"{sending} was told {status} and ran")
+
+    def stop(self):
+        for proxy in getattr(self, "proxies", []):
+            proxy.close()
+        for process in self.fleet.processes.values():
+            process.kill()  # the verdict is known; planned stops are among the faults
+        self.fleet.stop()
+
+
+def keep_logs(soak, seed):
+    """A failed seed's logs stay in build/, for `kumquatctl explain`."""
+    folder = os.path.join(soak.fleet.build, f"soak-seed-{seed}")
+    shutil.rmtree(folder, ignore_errors=True)
+    shutil.copytree(soak.fleet.folder, folder)
+    print(f"  seed {seed}: logs in {folder}")
+
+
+def play(seed, seconds, processes):
+    soak = Soak(seed, seconds, processes)
+    findings = ["interrupted"]
+    try:
+        findings = soak.run()
+        sent = soak.fleet.report()
+        print(f"seed {seed}: {sum(sent['runs'].values())} bookings ran, {len(findings)} findings")
+    except Exception as error:  # a fleet that cannot be started or asked is a finding, too
+        findings = [f"{type(error).__name__}: {error}"]
+    finally:
+        soak.ended.set()
+        for line in findings[:20]:
+            print(f"  seed {seed}: {line}", flush=True)
+        if findings:
+            keep_logs(soak, seed)
+        soak.stop()
+    return not findings
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1, help="how many, from --seed on")
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--processes", type=int, default=8)
+    parser.add_argument("--regressions", action="store_true")
+    options = parser.parse_args()
+    good = True
+    if options.regressions:
+        for file in sorted(glob.glob(os.path.join(HERE, "regressions", "*.json"))):
+            with open(file) as text:
+                case = json.load(text)
+            good = play(case["seed"], case["seconds"], case["processes"]) and good
+    else:
+        for seed in range(options.seed, options.seed + options.seeds):
+            good = play(seed, options.seconds, options.processes) and good
+    return 0 if good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
