--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -230,12 +230,22 @@
     def later(self, seconds, key, ending):
         def end():
             if ending:
-                ending()
+                self.insist(ending)
             self.busy.discard(key)
         timer = threading.Timer(seconds, end)
         self.timers.append(timer)
         timer.start()
 
+    def insist(self, ending):
+        """A fault that does not end would be taken for a lack of recovery."""
+        for _ in range(20):
+            try:
+                ending()
+                return
+            except OSError:
+                time.sleep(0.2)
+        self.findings.add("a fault could not be ended")
+
     # The run.
 
     def run(self):
