--- a/test/processes/platform_fleet.py
+++ b/test/processes/platform_fleet.py
@@ -179,7 +179,10 @@
         return sum(float(line.rsplit(" ", 1)[1]) for line in lines)
 
     def behave(self, targets, **changes):
-        self.call(self.admin, "POST", "/behaviour/" + targets, json.dumps(changes))
+        status, _, data = self.call(self.admin, "POST", "/behaviour/" + targets,
+                                    json.dumps(changes))
+        if status != 200:
+            raise ValueError(f"the stand-in refused {changes}: {data.decode()}")
 
     def report(self):
         return json.loads(self.call(self.admin, "GET", "/report")[2])
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -169,10 +169,10 @@
         launch(int(number))
 
     def targets(self, service):
-        fault = self.random.choice(({"silent": True}, {"truncateShare": 0.3}, {"slowdown": 8},
+        fault = self.random.choice(({"silent": 1}, {"truncateShare": 0.3}, {"slowdown": 8},
                                     {"failShare": 0.5}))
         self.fleet.behave(service, **fault)
-        calm = {"silent": False, "truncateShare": 0, "slowdown": 1, "failShare": 0}
+        calm = {"silent": 0, "truncateShare": 0, "slowdown": 1, "failShare": 0}
         return lambda: self.fleet.behave(service, **calm)
 
     def proxy(self, number):
@@ -242,7 +242,7 @@
             try:
                 ending()
                 return
-            except OSError:
+            except (OSError, ValueError):
                 time.sleep(0.2)
         self.findings.add("a fault could not be ended")
 
