--- a/include/kumquat/Placement.h
+++ b/include/kumquat/Placement.h
@@ -1,6 +1,6 @@
 #pragma once
 /// \file
-/// Decides where a request goes when instances share their machines with others: their pace
+/// Decides where a request goes when targets share their instances with others: their pace
 /// changes within fractions of a second, so what is known of a target is weighed by its age.
 
 #include <chrono>
