Keep a member whose disk is full running

Ruled out: retrying the append, since part of a record may lie at the end of the log. Change: ENOSPC is an error of its own (storage-full). The member then stores and sends nothing that needs storing, hands the leadership over, and every 250 ms writes its whole state anew, compacted. Entries that arrive while that write runs are stored after it. A log that ends in a torn record on a full disk no longer keeps the member from starting. A descriptor that could not be opened is no longer kept; the temporary file of a failed replacement is removed. Left: a first start on a full, empty disk still ends the process.

--- a/include/kumquat/Error.h
+++ b/include/kumquat/Error.h
@@ -18,6 +18,7 @@
     badMessage,
     notAuthentic,
     storageFailed,
+    storageFull,
     storageDamaged,
     capacityExhausted,
 };
--- a/include/kumquat/Event.h
+++ b/include/kumquat/Event.h
@@ -46,6 +46,8 @@
     snapshotTaken = 404,
     snapshotInstalled = 405,
     groupFormed = 406,
+    diskFull = 407,
+    diskWritable = 408,
     badDatagram = 600,
 };
 
--- a/src/common/Error.cpp
+++ b/src/common/Error.cpp
@@ -30,6 +30,7 @@
         return absl::StatusCode::kInternal;
     case ErrorKind::storageDamaged:
         return absl::StatusCode::kDataLoss;
+    case ErrorKind::storageFull:
     case ErrorKind::capacityExhausted:
         return absl::StatusCode::kResourceExhausted;
     }
@@ -59,6 +60,8 @@
         return "not-authentic";
     case ErrorKind::storageFailed:
         return "storage-failed";
+    case ErrorKind::storageFull:
+        return "storage-full";
     case ErrorKind::storageDamaged:
         return "storage-damaged";
     case ErrorKind::capacityExhausted:
--- a/src/coordination/consensus/GroupNode.cpp
+++ b/src/coordination/consensus/GroupNode.cpp
@@ -1,5 +1,6 @@
 #include "coordination/consensus/GroupNode.h"
 
+#include "kumquat/Error.h"
 #include "kumquat/Event.h"
 #include "protocol/Codec.h"
 
@@ -12,6 +13,8 @@
 
 constexpr Milliseconds joinInterval { 300 };
 constexpr Milliseconds onceExpiryInterval { 60'000 };
+/// Between two tries to write to a full disk.
+constexpr Milliseconds diskFullRetryInterval { 250 };
 
 MemberId randomMemberId(Random &random)
 {
@@ -98,6 +101,7 @@
     RaftOptions raftOptions = options_.raft;
     raftOptions.seed = random();
     raft_.emplace(raftOptions, self, loaded->hardState, std::move(log), hooks_.now());
+    isDiskFull_ = store_.mustReplace();
     return absl::OkStatus();
 }
 
@@ -281,7 +285,9 @@
     applyCommitted();
     collectOutput();
     logLeaderChange();
-    if (!isWriting_) {
+    if (!isWriting_ && isDiskFull_) {
+        replaceStore();
+    } else if (!isWriting_) {
         writePending();
     }
     isProcessing_ = false;
@@ -320,6 +326,10 @@
 
 void GroupNode::onStored(const RaftOutput &output, const absl::Status &status)
 {
+    if (isError(status, ErrorKind::storageFull)) {
+        onDiskFull(status);
+        return;
+    }
     if (!status.ok()) {
         hooks_.storeFailed(status);
         return;
@@ -333,6 +343,61 @@
     processOutput();
 }
 
+void GroupNode::onDiskFull(const absl::Status &status)
+{
+    isWriting_ = false;
+    nextReplaceAt_ = hooks_.now() + diskFullRetryInterval;
+    if (!isDiskFull_) {
+        isDiskFull_ = true;
+        logEvent(Event::diskFull, LogLevel::error, "member={} leader={} {}", options_.name,
+                 raft_->isLeader(), std::string(status.message()));
+    }
+    transferLeadership(); // again each time, since it needs a voter that has the whole log
+}
+
+// Stores everything anew, compacted, since the log on disk may end in part of a record. That covers
+// the output up to now. Responses that may not be sent before are dropped, which the group takes
+// for lost messages.
+void GroupNode::replaceStore()
+{
+    pendingOutput_ = RaftOutput();
+    pendingSnapshot_.reset();
+    if (hooks_.now() < nextReplaceAt_) {
+        return;
+    }
+    if (raft_->appliedIndex() > raft_->log().snapshot().index) {
+        raft_->compact(raft_->appliedIndex(), state_.save());
+    }
+    isWriting_ = true;
+    const RaftLog &log = raft_->log();
+    hooks_.runDiskWork(
+        [this, snapshot = log.snapshot(), hardState = raft_->hardState(),
+         entries = log.slice(log.firstIndex(), SIZE_MAX)] {
+            return store_.replace(snapshot, hardState, entries);
+        },
+        [this, lastIndex = log.lastIndex(), lastTerm = log.lastTerm()](const absl::Status &status) {
+            onReplaced(lastIndex, lastTerm, status);
+        });
+}
+
+void GroupNode::onReplaced(std::uint64_t lastIndex, std::uint64_t lastTerm,
+                           const absl::Status &status)
+{
+    if (isError(status, ErrorKind::storageFull)) {
+        onDiskFull(status);
+        return;
+    }
+    if (!status.ok()) {
+        hooks_.storeFailed(status);
+        return;
+    }
+    isWriting_ = false;
+    isDiskFull_ = false;
+    logEvent(Event::diskWritable, LogLevel::info, "member={} index={}", options_.name, lastIndex);
+    raft_->markStored(lastIndex, lastTerm, hooks_.now());
+    processOutput();
+}
+
 void GroupNode::applyCommitted()
 {
     if (raft_->takeSnapshotInstalled()) {
--- a/src/coordination/consensus/GroupNode.h
+++ b/src/coordination/consensus/GroupNode.h
@@ -23,8 +23,8 @@
 
     /// Called after committed entries or a snapshot were applied to the state.
     std::function<void()> stateChanged;
-    /// Called when a write failed; the process must then exit, since the contents of its disk are
-    /// unknown.
+    /// Called when a write failed for another reason than a full disk; the process must then exit,
+    /// since the contents of its disk are unknown.
     std::function<void(const absl::Status &)> storeFailed;
     NowFunction now;
     std::function<Milliseconds()> wallNow;
@@ -85,6 +85,7 @@
     const ControlState &state() const { return state_; }
     const LogStore &store() const { return store_; }
     bool isVoter() const { return raft_->self().voter; }
+    bool isDiskFull() const { return isDiskFull_; }
 
 private:
     struct PendingProposal
@@ -99,6 +100,9 @@
     void collectOutput();
     void writePending();
     void onStored(const RaftOutput &output, const absl::Status &status);
+    void onDiskFull(const absl::Status &status);
+    void replaceStore();
+    void onReplaced(std::uint64_t lastIndex, std::uint64_t lastTerm, const absl::Status &status);
     void applyCommitted();
     void takeSnapshot();
     void expireOnceRecords();
@@ -117,6 +121,8 @@
     RaftOutput pendingOutput_;
     std::optional<LogSnapshot> pendingSnapshot_; ///< taken, to be stored with the next write
     bool isWriting_ = false;
+    bool isDiskFull_ = false; ///< nothing is stored or acknowledged until a replacement succeeds
+    TimePoint nextReplaceAt_; ///< while the disk is full
     bool isProcessing_ = false;
     bool wasLeader_ = false;
     TimePoint nextJoinAt_;
--- a/src/state/Disk.cpp
+++ b/src/state/Disk.cpp
@@ -16,13 +16,24 @@
 
 namespace {
 
-absl::Status storageError(const std::string &operation, const std::string &file)
+// After such an error the file may hold any part of what was written.
+absl::Status unknownContents(const std::string &operation, const std::string &file)
 {
     return makeError(ErrorKind::storageFailed,
                      "cannot " + operation + " " + file + ": " + std::strerror(errno),
                      "check the disk of the data folder, then restart the process");
 }
 
+absl::Status storageError(const std::string &operation, const std::string &file)
+{
+    if (errno == ENOSPC || errno == EDQUOT) {
+        return makeError(ErrorKind::storageFull,
+                         "cannot " + operation + " " + file + ": " + std::strerror(errno),
+                         "free space on the disk of the data folder");
+    }
+    return unknownContents(operation, file);
+}
+
 class FileDescriptor
 {
 public:
@@ -78,7 +89,9 @@
             openFile = std::make_unique<FileDescriptor>(
                 ::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0640));
             if (openFile->value() < 0) {
-                return storageError("open", file);
+                const absl::Status failed = storageError("open", file);
+                openFile.reset();
+                return failed;
             }
         }
         return writeAll(openFile->value(), bytes, name);
@@ -88,7 +101,7 @@
     {
         const auto openFile = openFiles_.find(name);
         if (openFile != openFiles_.end() && ::fdatasync(openFile->second->value()) != 0) {
-            return storageError("sync", name);
+            return unknownContents("sync", name);
         }
         return absl::OkStatus();
     }
@@ -97,24 +110,34 @@
     {
         const std::string file = path_ + "/" + name;
         const std::string temporary = file + ".new";
+        absl::Status status = writeTemporary(temporary, bytes);
+        if (status.ok() && ::rename(temporary.c_str(), file.c_str()) != 0) {
+            status = storageError("replace", file);
+        }
+        if (!status.ok()) {
+            ::unlink(temporary.c_str()); // its bytes may be all that fills the disk
+            return status;
+        }
         openFiles_.erase(name);
+        const FileDescriptor folder(::open(path_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+        return ::fsync(folder.value()) == 0 ? absl::OkStatus() : unknownContents("sync", path_);
+    }
+
+private:
+    static absl::Status writeTemporary(const std::string &file, const std::string &bytes)
+    {
         const FileDescriptor descriptor(
-            ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0640));
+            ::open(file.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0640));
         if (descriptor.value() < 0) {
-            return storageError("open", temporary);
+            return storageError("open", file);
         }
-        const absl::Status written = writeAll(descriptor.value(), bytes, temporary);
+        const absl::Status written = writeAll(descriptor.value(), bytes, file);
         if (!written.ok()) {
             return written;
         }
-        if (::fsync(descriptor.value()) != 0 || ::rename(temporary.c_str(), file.c_str()) != 0) {
-            return storageError("replace", file);
-        }
-        const FileDescriptor folder(::open(path_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-        return ::fsync(folder.value()) == 0 ? absl::OkStatus() : storageError("sync", path_);
+        return ::fsync(descriptor.value()) == 0 ? absl::OkStatus() : storageError("sync", file);
     }
 
-private:
     std::string path_;
     std::map<std::string, std::unique_ptr<FileDescriptor>> openFiles_;
 };
--- a/src/state/Disk.h
+++ b/src/state/Disk.h
@@ -2,6 +2,7 @@
 /// \file
 /// Defines the file operations that the durable state needs.
 /// Processes use a folder on disk; tests replace the operations to inject faults.
+/// Any error but ErrorKind::storageFull leaves the contents of the file unknown.
 
 #include <absl/status/status.h>
 #include <functional>
@@ -14,10 +15,12 @@
 {
     /// The content of a file; nothing if it does not exist.
     std::function<std::optional<std::string>(const std::string &name)> read;
-    /// Appends to a file; durable only after sync().
+    /// Appends to a file; durable only after sync(). ErrorKind::storageFull: part of the bytes may
+    /// have been appended.
     std::function<absl::Status(const std::string &name, const std::string &bytes)> append;
     std::function<absl::Status(const std::string &name)> sync;
-    /// Replaces a file atomically; durable on return.
+    /// Replaces a file atomically; durable on return. ErrorKind::storageFull: the file is as it
+    /// was.
     std::function<absl::Status(const std::string &name, const std::string &bytes)> replace;
 };
 
--- a/src/state/LogStore.cpp
+++ b/src/state/LogStore.cpp
@@ -1,5 +1,6 @@
 #include "state/LogStore.h"
 
+#include "kumquat/Error.h"
 #include "protocol/Codec.h"
 #include "state/RecordFile.h"
 
@@ -117,9 +118,10 @@
     }
     if (file.validBytes < log->size()) {
         const absl::Status cut = disk_.replace(logFile, log->substr(0, file.validBytes));
-        if (!cut.ok()) {
+        if (!cut.ok() && !isError(cut, ErrorKind::storageFull)) {
             return cut;
         }
+        mustReplace_ = !cut.ok();
     }
     return state;
 }
@@ -135,7 +137,9 @@
 
 absl::Status LogStore::write(const std::string &bytes)
 {
+    KUMQUAT_ASSERT(!mustReplace_, "the log was appended to after part of a record");
     absl::Status status = disk_.append(logFile, bytes);
+    mustReplace_ = isError(status, ErrorKind::storageFull);
     if (status.ok()) {
         status = disk_.sync(logFile);
     }
@@ -169,6 +173,7 @@
     if (status.ok()) {
         status = disk_.replace(logFile, bytes);
     }
+    mustReplace_ = mustReplace_ && !status.ok();
     syncs_ += 2;
     bytesWritten_ += bytes.size();
     return status;
--- a/src/state/LogStore.h
+++ b/src/state/LogStore.h
@@ -30,13 +30,18 @@
     /// Initialises the disk for \p identity and discards what was stored.
     absl::Status create(MemberId identity);
 
-    /// Appends \p hardState, unless null, and \p entries; durable on return.
+    /// Appends \p hardState, unless null, and \p entries; durable on return. Must not be called
+    /// while mustReplace().
     absl::Status append(const HardState *hardState, const std::vector<LogEntry> &entries);
 
     /// Replaces the log by a snapshot and the entries that follow it.
     absl::Status replace(const LogSnapshot &snapshot, const HardState &hardState,
                          const std::vector<LogEntry> &entries);
 
+    /// True after a write to a full disk, which may have left part of a record at the end of the
+    /// log; only replace() makes the log writable again.
+    bool mustReplace() const { return mustReplace_; }
+
     std::uint64_t syncs() const { return syncs_; }
     std::uint64_t bytesWritten() const { return bytesWritten_; }
 
@@ -46,6 +51,7 @@
     Disk disk_;
     std::uint64_t syncs_ = 0;
     std::uint64_t bytesWritten_ = 0;
+    bool mustReplace_ = false;
 };
 
 } // namespace kumquat
--- a/test/failure/ControlGroupFuzz.cpp
+++ b/test/failure/ControlGroupFuzz.cpp
@@ -64,11 +64,27 @@
     simulation.run(Milliseconds(20 + static_cast<int>(randomBelow(random, 900))));
 }
 
+// Fills a member's disk in every tenth step or so, and makes room on one in another tenth.
+void fillDisks(GroupSimulation &simulation, Random &random)
+{
+    const int chosen
+        = static_cast<int>(randomBelow(random, static_cast<std::size_t>(simulation.size())));
+    const std::size_t action = randomBelow(random, 10);
+    if (action < 2) {
+        simulation.fillDisk(chosen, action == 0);
+    }
+}
+
 std::string runSeed(GroupSimulationOptions options, int steps)
 {
     GroupSimulation simulation(options);
     Random random(options.seed * 7'919);
+    // Separate, so that a seed plays the same other faults with and without full disks.
+    Random diskRandom(options.seed);
     for (int step = 0; step < steps && !simulation.hasViolation(); ++step) {
+        if (options.fillDisks) {
+            fillDisks(simulation, diskRandom);
+        }
         runStep(simulation, random, step);
     }
     simulation.healAll();
@@ -131,6 +147,14 @@
     }
 }
 
+TEST(ControlGroupFuzz, SafetyHoldsWithFullDisks)
+{
+    GroupSimulationOptions options;
+    options.fillDisks = true;
+    const std::string violation = firstViolation(options, seedCount(60), 60);
+    STRCMP_EQUAL("", violation.c_str());
+}
+
 TEST(ControlGroupFuzz, DetectsIgnoredSyncs)
 {
     GroupSimulationOptions options;
--- a/test/failure/GroupSimulation.cpp
+++ b/test/failure/GroupSimulation.cpp
@@ -44,7 +44,12 @@
         return found == files_.end() ? std::nullopt
                                      : std::optional<std::string>(found->second.written);
     };
-    disk.append = [this, crashed](const std::string &name, const std::string &bytes) {
+    const auto full = [] { return makeError(ErrorKind::storageFull, "full", "free space"); };
+    disk.append = [this, crashed, full](const std::string &name, const std::string &bytes) {
+        if (isFull_) {
+            files_[name].written += bytes.substr(0, bytes.size() / 2);
+            return full();
+        }
         files_[name].written += bytes;
         return consumeOperation() ? absl::OkStatus() : crashed();
     };
@@ -57,7 +62,10 @@
         }
         return absl::OkStatus();
     };
-    disk.replace = [this, crashed](const std::string &name, const std::string &bytes) {
+    disk.replace = [this, crashed, full](const std::string &name, const std::string &bytes) {
+        if (isFull_) {
+            return full();
+        }
         if (!consumeOperation()) {
             return crashed();
         }
@@ -253,6 +261,21 @@
     members_[static_cast<std::size_t>(index)].disk.failAfter(operations);
 }
 
+void GroupSimulation::fillDisk(int index, bool full)
+{
+    members_[static_cast<std::size_t>(index)].disk.setFull(full);
+}
+
+bool GroupSimulation::runs(int index) const
+{
+    return members_[static_cast<std::size_t>(index)].node != nullptr;
+}
+
+bool GroupSimulation::hasFullDisk(int index) const
+{
+    return runs(index) && members_[static_cast<std::size_t>(index)].node->isDiskFull();
+}
+
 void GroupSimulation::restart(int index)
 {
     if (!node(index)) {
@@ -316,6 +339,7 @@
     cutLinks_.clear();
     for (int member = 0; member < options_.members; ++member) {
         members_[static_cast<std::size_t>(member)].disk.failAfter(-1);
+        fillDisk(member, false);
         freeze(member, false);
         restart(member);
     }
--- a/test/failure/GroupSimulation.h
+++ b/test/failure/GroupSimulation.h
@@ -22,6 +22,8 @@
     void ignoreSyncs() { ignoresSyncs_ = true; }
     /// Injected bug: an otherwise empty disk keeps its identity and the group's \p epoch.
     void eraseAllButIdentity(std::uint64_t epoch);
+    /// While full, writes fail; an append leaves part of its bytes.
+    void setFull(bool full) { isFull_ = full; }
     /// After \p operations more operations, one fails and crashes the process; -1: none fails.
     void failAfter(int operations) { operationsLeft_ = operations; }
 
@@ -37,6 +39,7 @@
     std::map<std::string, File> files_;
     int operationsLeft_ = -1;
     bool ignoresSyncs_ = false;
+    bool isFull_ = false;
 };
 
 struct GroupSimulationOptions
@@ -45,6 +48,7 @@
     int members = 3;
     bool ignoreSyncs = false;
     bool keepIdentity = false;
+    bool fillDisks = false; ///< the fuzz test also fills disks and makes room again
     double lossRate = 0.02;
     double duplicateRate = 0.02;
     std::uint64_t snapshotEveryEntries = 40;
@@ -63,6 +67,9 @@
     void crash(int member);
     void crashAtDiskOperation(int member, int operations);
     void restart(int member);
+    void fillDisk(int member, bool full);
+    bool runs(int member) const;
+    bool hasFullDisk(int member) const;
     /// Crashes a member, empties its disk and starts it again.
     void loseDisk(int member);
     void loseDiskIfHealthy(int member);
