--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -109,6 +109,9 @@
 void EntryWorker::handle(CallerConnection &caller, Yield yield)
 {
     const TimePoint start = Clock::now();
+    if (serveReadAhead(caller, start) || !caller.awaitResponses(yield)) {
+        return;
+    }
     const std::string path = pathOf(caller.header());
     if (path == wire::readyPath) {
         const bool ready = core_.ready && !core_.stopping && core_.isFresh();
@@ -183,19 +186,56 @@
     runtime.leave();
 }
 
+// An idempotent request without a body is served beside those that follow it on its connection, so
+// that a slow one does not delay them. Returns false when the request must be served alone.
+bool EntryWorker::serveReadAhead(CallerConnection &caller, TimePoint start)
+{
+    const bool isServed
+        = core_.ready && core_.isFresh() && !core_.dialect->headers.requestId.empty();
+    if (!isServed || caller.hasBody() || !caller.canReadAhead()) {
+        return false;
+    }
+    const auto host = caller.header()[http::field::host];
+    const ActiveRoutePtr route
+        = core_.routing.read()->matchHost({ host.data(), host.size() }, pathOf(caller.header()));
+    if (!route || route->configuration.kind != RequestKind::idempotent) {
+        return false;
+    }
+    const auto request
+        = std::make_shared<HostRouteRequest>(hostRouteRequest(caller.header(), route, start));
+    request->caller = caller.readAhead();
+    spawnOn(loop_, [this, request](Yield inner) {
+        request->request.prepare_payload();
+        if (!refuseIfQuarantined(*request, inner)) {
+            serveHostRouteRequest(*request, inner);
+        }
+    });
+    return true;
+}
+
 void EntryWorker::serveHostRoute(CallerConnection &caller, TimePoint start, Yield yield)
 {
-    const auto &header = caller.header();
-    const auto host = header[http::field::host];
-    const std::string path = pathOf(header);
-    const auto routing = core_.routing.read();
-    const ActiveRoutePtr route = routing->matchHost({ host.data(), host.size() }, path);
+    const auto host = caller.header()[http::field::host];
+    const ActiveRoutePtr route
+        = core_.routing.read()->matchHost({ host.data(), host.size() }, pathOf(caller.header()));
     if (!route) {
         refuseBeforeRouting(caller, RefusalReason::noRoute, yield);
         return;
     }
+    HostRouteRequest request = hostRouteRequest(caller.header(), route, start);
+    request.caller = caller.channel();
+    if (readHostRouteBody(caller, request, yield) && !refuseIfQuarantined(request, yield)) {
+        serveHostRouteRequest(request, yield);
+    }
+}
+
+// The request as far as its header says; counts it.
+HostRouteRequest EntryWorker::hostRouteRequest(const http::request_header<> &header,
+                                               const ActiveRoutePtr &route, TimePoint start)
+{
     const HeaderNames &names = core_.dialect->headers;
-    HostRouteRequest request { caller,
+    const auto routing = core_.routing.read();
+    HostRouteRequest request { {},
                                worker_,
                                *core_.dialect,
                                route,
@@ -203,39 +243,47 @@
                                routing->version,
                                start,
                                {},
-                               {},
+                               HttpRequest(header),
                                std::string(header[names.requestId]),
                                0 };
+    removeHopByHop(request.request);
     const Milliseconds timeout = route->configuration.timeout;
     request.deadline
         = start + std::min(timeout, readDeadline(header, names.deadline).value_or(timeout));
-    ServiceRuntime &runtime = *request.service->runtime;
-    ++runtime.counters.requests;
-    runtime.retryBudget.deposit();
-    if (readHostRouteRequest(request, yield)) {
-        serveHostRouteRequest(request, yield);
-    }
+    ++request.service->runtime->counters.requests;
+    request.service->runtime->retryBudget.deposit();
+    return request;
 }
 
-bool EntryWorker::readHostRouteRequest(HostRouteRequest &request, Yield yield)
+void EntryWorker::refuseHostRoute(HostRouteRequest &request, RefusalReason reason, Yield yield)
 {
-    const auto refuseWith = [&request, yield](RefusalReason reason) {
-        ++request.service->runtime->counters.refused[static_cast<std::size_t>(reason)];
-        logEvent(Event::requestRefused, LogLevel::info,
-                 "request={} route={} service={} version={} reason={} run=no sendings=0",
-                 request.requestId, request.route->configuration.name,
-                 request.service->configuration.name, request.version.number,
-                 refusalReasonName(reason));
-        (void)request.caller.writeResponse(refusal(reason, RunOutcome::notRun), yield);
+    ++request.service->runtime->counters.refused[static_cast<std::size_t>(reason)];
+    logEvent(Event::requestRefused, LogLevel::info,
+             "request={} route={} service={} version={} reason={} run=no sendings=0",
+             request.requestId, request.route->configuration.name,
+             request.service->configuration.name, request.version.number,
+             refusalReasonName(reason));
+    request.caller.write(refusal(reason, RunOutcome::notRun), yield);
+}
+
+bool EntryWorker::refuseIfQuarantined(HostRouteRequest &request, Yield yield)
+{
+    request.fingerprint = fingerprintOf(request.request);
+    if (!core_.quarantine.isQuarantined(request.fingerprint, Clock::now())) {
         return false;
-    };
-    request.request = HttpRequest(request.caller.header());
-    removeHopByHop(request.request);
+    }
+    refuseHostRoute(request, RefusalReason::quarantined, yield);
+    return true;
+}
+
+bool EntryWorker::readHostRouteBody(CallerConnection &caller, HostRouteRequest &request,
+                                    Yield yield)
+{
     const auto limit = static_cast<std::size_t>(core_.routing.read()->callerLimits.maxBodyBytes);
-    const ErrorCode error
-        = request.caller.readBody(request.request.body(), limit, request.deadline, yield);
+    const ErrorCode error = caller.readBody(request.request.body(), limit, request.deadline, yield);
     if (error == http::error::body_limit) {
-        return refuseWith(RefusalReason::requestTooLarge);
+        refuseHostRoute(request, RefusalReason::requestTooLarge, yield);
+        return false;
     }
     if (error) {
         ++request.service->runtime->counters.callerDisconnects;
@@ -243,10 +291,6 @@
         return false;
     }
     request.request.prepare_payload();
-    request.fingerprint = fingerprintOf(request.request);
-    if (core_.quarantine.isQuarantined(request.fingerprint, Clock::now())) {
-        return refuseWith(RefusalReason::quarantined);
-    }
     return true;
 }
 
--- a/src/coordination/entry/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -35,9 +35,14 @@
     void serve(TcpSocket socket, Yield yield);
     void handle(CallerConnection &caller, Yield yield);
     void admit(CallerConnection &caller, const RouteMatch &match, TimePoint deadline, Yield yield);
+    bool serveReadAhead(CallerConnection &caller, TimePoint start);
     void serveHostRoute(CallerConnection &caller, TimePoint start, Yield yield);
+    HostRouteRequest hostRouteRequest(const http::request_header<> &header,
+                                      const ActiveRoutePtr &route, TimePoint start);
     void refuseBeforeRouting(CallerConnection &caller, RefusalReason reason, Yield yield);
-    bool readHostRouteRequest(HostRouteRequest &request, Yield yield);
+    bool readHostRouteBody(CallerConnection &caller, HostRouteRequest &request, Yield yield);
+    bool refuseIfQuarantined(HostRouteRequest &request, Yield yield);
+    void refuseHostRoute(HostRouteRequest &request, RefusalReason reason, Yield yield);
     bool readRequest(Call &call, RequestKind kind, Yield yield);
 
     EntryCore &core_;
--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -359,7 +359,7 @@
     ++runtime_.counters.answered;
     runtime_.latency.record(elapsed);
     responded_ = true;
-    (void)request_.caller.writeResponse(std::move(response), yield);
+    request_.caller.write(std::move(response), yield);
 }
 
 void HostRouteCall::refuseWith(RefusalReason reason, Yield yield)
@@ -377,7 +377,7 @@
         const auto pause = retryAfterDelay(route_.latencyObjective, request_.worker.random());
         response.set(http::field::retry_after, formatSeconds(pause));
     }
-    (void)request_.caller.writeResponse(std::move(response), yield);
+    request_.caller.write(std::move(response), yield);
 }
 
 // Forwards the last error response of a target, unless its status would claim that the request
--- a/src/coordination/entry/HostRouteCall.h
+++ b/src/coordination/entry/HostRouteCall.h
@@ -5,7 +5,7 @@
 /// run.
 
 #include "coordination/entry/Attempt.h"
-#include "protocol/CallerConnection.h"
+#include "protocol/ResponseChannel.h"
 
 namespace kumquat {
 
@@ -15,7 +15,7 @@
 /// A request of a host route whose body has been read completely.
 struct HostRouteRequest
 {
-    CallerConnection &caller;
+    ResponseChannel caller;
     Worker &worker;
     const Dialect &dialect;
     ActiveRoutePtr route;
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 CallerConnection::CallerConnection(asio::io_context &context, TcpSocket socket)
-    : context_(context), stream_(std::move(socket))
+    : context_(context), stream_(std::move(socket)), responsesChanged_(context), idleTimer_(context)
 {
 }
 
@@ -33,16 +33,19 @@
 {
     hooks_ = std::move(hooks);
     do {
-        if (!readHeader(yield)) {
+        waitForRoom(yield);
+        // What arrives after a response that closes the connection counts as not read.
+        if (!readHeader(yield) || closing_) {
             break;
         }
         reusable_ = false;
         handler(*this, yield);
         stopWatching();
     } while (reusable_ && keepsAlive());
+    (void)awaitResponses(yield);
     ErrorCode ignored;
     stream_.socket().shutdown(TcpSocket::shutdown_send, ignored);
-    if (requestUnread_) {
+    if (requestUnread_ || wasPipelined_) {
         discardInput(yield);
     }
     stream_.close();
@@ -67,19 +70,34 @@
         && parser_->get().keep_alive();
 }
 
-// Waits for the first bytes of a request; the rest of its header has a timeout of its own.
+// Waits for the first bytes of a request; the rest of its header has a timeout of its own. The
+// connection is not idle while responses are pending.
 ErrorCode CallerConnection::waitForRequest(Milliseconds idleTimeout, Yield yield)
 {
     ErrorCode error;
     idle_ = true;
-    stream_.expires_after(idleTimeout);
+    stream_.expires_never();
+    if (!hasPendingResponses()) {
+        closeWhenIdleFor(idleTimeout);
+    }
     const std::size_t bytes
         = stream_.async_read_some(buffer_.prepare(firstReadBytes), yield[error]);
     buffer_.commit(bytes);
     idle_ = false;
+    idleTimer_.cancel();
     return error;
 }
 
+void CallerConnection::closeWhenIdleFor(Milliseconds idleTimeout)
+{
+    idleTimer_.expires_after(idleTimeout);
+    idleTimer_.async_wait([self = shared_from_this()](ErrorCode error) {
+        if (!error) {
+            self->closeIfIdle();
+        }
+    });
+}
+
 bool CallerConnection::readHeader(Yield yield)
 {
     const CallerLimits limits = hooks_.limits();
@@ -101,12 +119,17 @@
         && error.category() == ErrorCode(http::error::bad_method).category();
     if (malformed) {
         rejectMalformed(error, yield);
+    } else if (error) {
+        responses_.disconnect();
     }
     return !error;
 }
 
 void CallerConnection::rejectMalformed(ErrorCode error, Yield yield)
 {
+    if (!awaitResponses(yield)) {
+        return;
+    }
     HttpResponse response = refusal(RefusalReason::malformedRequest, RunOutcome::notRun);
     if (error == http::error::header_limit) {
         response.result(http::status::request_header_fields_too_large);
@@ -173,11 +196,20 @@
 ErrorCode CallerConnection::writeResponse(HttpResponse response, Yield yield)
 {
     stopWatching();
-    ErrorCode error;
-    response.version(11);
     const bool keep = keepsAlive();
     response.keep_alive(keep);
-    if (parser_->is_header_done() && header().method() == http::verb::head) {
+    const bool isHeadRequest = parser_->is_header_done() && header().method() == http::verb::head;
+    const ErrorCode error = writeMessage(response, isHeadRequest, yield);
+    reusable_ = !error && keep;
+    requestUnread_ = !error && (!parser_->is_header_done() || !isBodyRead());
+    return error;
+}
+
+ErrorCode CallerConnection::writeMessage(HttpResponse &response, bool isHeadRequest, Yield yield)
+{
+    ErrorCode error;
+    response.version(11);
+    if (isHeadRequest) {
         response.content_length(response.body().size());
         response.body().clear();
         http::response_serializer<http::string_body> serializer(response);
@@ -188,11 +220,106 @@
         stream_.expires_after(writeTimeout);
         http::async_write(stream_, response, yield[error]);
     }
-    reusable_ = !error && keep;
-    requestUnread_ = !error && (!parser_->is_header_done() || !isBodyRead());
     return error;
 }
 
+// Pipelining.
+
+bool CallerConnection::canReadAhead() const
+{
+    return keepsAlive() && !responses_.isDisconnected();
+}
+
+ResponseChannel CallerConnection::readAhead()
+{
+    wasPipelined_ = true;
+    reusable_ = true;
+    const auto self = shared_from_this();
+    const auto pending = responses_.add(header().method() == http::verb::head);
+    ResponseChannel channel;
+    channel.write = [self, pending](HttpResponse response, Yield yield) {
+        self->responses_.complete(pending, std::move(response));
+        self->sendReadyResponses(yield);
+    };
+    channel.watchDisconnect = [self, pending](std::function<void()> onDisconnect) {
+        self->responses_.watchDisconnect(pending, std::move(onDisconnect));
+    };
+    channel.stopWatching = [pending] { pending->onDisconnect = nullptr; };
+    channel.abort = [self, pending] {
+        self->responses_.remove(pending);
+        self->endPipeline();
+    };
+    return channel;
+}
+
+ResponseChannel CallerConnection::channel()
+{
+    const auto self = shared_from_this();
+    ResponseChannel channel;
+    channel.write = [self](HttpResponse response, Yield yield) {
+        (void)self->writeResponse(std::move(response), yield);
+    };
+    channel.watchDisconnect = [self](std::function<void()> onDisconnect) {
+        self->watchDisconnect(std::move(onDisconnect));
+    };
+    channel.stopWatching = [self] { self->stopWatching(); };
+    channel.abort = [self] { self->abort(); };
+    return channel;
+}
+
+bool CallerConnection::awaitResponses(Yield yield)
+{
+    ErrorCode ignored;
+    while (hasPendingResponses()) {
+        responsesChanged_.expires_at(TimePoint::max());
+        responsesChanged_.async_wait(yield[ignored]);
+    }
+    return !closing_ && !responses_.isDisconnected();
+}
+
+void CallerConnection::waitForRoom(Yield yield)
+{
+    ErrorCode ignored;
+    while (responses_.isFull() && !responses_.isDisconnected()) {
+        responsesChanged_.expires_at(TimePoint::max());
+        responsesChanged_.async_wait(yield[ignored]);
+    }
+}
+
+// One request at a time sends the responses that are ready, those of later requests included.
+// During a planned stop only the last pending response closes the connection, since requests behind
+// a response that closes it count as not read.
+void CallerConnection::sendReadyResponses(Yield yield)
+{
+    if (isSending_) {
+        return;
+    }
+    isSending_ = true;
+    while (const PendingResponsePtr next = responses_.takeReady()) {
+        closing_ = closing_ || (hooks_.isStopping() && responses_.isEmpty());
+        next->response.keep_alive(!closing_);
+        const ErrorCode error = writeMessage(next->response, next->isHeadRequest, yield);
+        if (error || closing_) {
+            endPipeline();
+        }
+        responsesChanged_.cancel();
+    }
+    isSending_ = false;
+    responsesChanged_.cancel();
+    if (idle_ && responses_.isEmpty()) {
+        closeWhenIdleFor(hooks_.limits().idleTimeout);
+    }
+}
+
+// Ends the wait for the next request. Requests whose response is still pending lose their caller.
+void CallerConnection::endPipeline()
+{
+    closing_ = true;
+    responses_.disconnect();
+    stream_.cancel();
+    responsesChanged_.cancel();
+}
+
 ErrorCode CallerConnection::writeHeader(http::response_header<> responseHeader,
                                         std::optional<std::uint64_t> length, Yield yield)
 {
@@ -273,7 +400,7 @@
 
 void CallerConnection::closeIfIdle()
 {
-    if (idle_) {
+    if (idle_ && !hasPendingResponses()) {
         stream_.close();
     }
 }
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -1,10 +1,13 @@
 #pragma once
 /// \file
 /// Serves one caller's connection: reads requests and writes whole or streamed responses.
-/// The handler decides how a request is answered; this class only implements HTTP/1.1.
+/// The handler decides how a request is answered; this class only implements HTTP/1.1. The handler
+/// may let a request be answered later, while the connection reads the next one (pipelining).
 
 #include "common/Time.h"
 #include "kumquat/Configuration.h"
+#include "protocol/ResponseChannel.h"
+#include "protocol/ResponseQueue.h"
 #include "transport/HttpServer.h"
 
 #include <optional>
@@ -22,7 +25,8 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-    /// Called for each request after its header was read; must write a response or abort().
+    /// Called for each request after its header was read; must write a response, readAhead() or
+    /// abort(). The caller takes a request that got none of them as not read.
     using Handler = std::function<void(CallerConnection &, Yield)>;
     using Parser = http::request_parser<http::buffer_body>;
 
@@ -36,7 +40,16 @@
     std::optional<std::uint64_t> contentLength() const;
     bool hasBody() const { return !parser_->is_done(); }
     bool isBodyRead() const { return parser_->is_done(); }
-    bool isIdle() const { return idle_; }
+
+    /// True when the request may be answered later, while further ones are read.
+    bool canReadAhead() const;
+    /// The channel of a request that is answered later. Responses keep the order of the requests.
+    ResponseChannel readAhead();
+    /// The channel of a request that the handler answers before it returns.
+    ResponseChannel channel();
+    /// Waits until all requests that were read before have their response; must be called before
+    /// any other way of answering. False when the connection ended or was closed by one of them.
+    bool awaitResponses(Yield yield);
 
     /// Reads the whole body; fails with http::error::body_limit when it exceeds \p limit bytes.
     ErrorCode readBody(std::string &body, std::size_t limit, TimePoint deadline, Yield yield);
@@ -66,6 +79,12 @@
     void watch();
     void rejectMalformed(ErrorCode error, Yield yield);
     void discardInput(Yield yield);
+    bool hasPendingResponses() const { return !responses_.isEmpty() || isSending_; }
+    void waitForRoom(Yield yield);
+    void sendReadyResponses(Yield yield);
+    ErrorCode writeMessage(HttpResponse &response, bool isHeadRequest, Yield yield);
+    void closeWhenIdleFor(Milliseconds idleTimeout);
+    void endPipeline();
     ErrorCode waitForRequest(Milliseconds idleTimeout, Yield yield);
     bool readHeader(Yield yield);
 
@@ -78,6 +97,11 @@
     std::shared_ptr<std::function<void()>> onDisconnect_;
     std::optional<http::response<http::buffer_body>> streamedResponse_;
     std::optional<http::response_serializer<http::buffer_body>> serializer_;
+    ResponseQueue responses_;
+    Timer responsesChanged_; ///< cancelled when a response was sent or removed
+    Timer idleTimer_;
+    bool isSending_ = false; ///< a response from the queue is being written
+    bool wasPipelined_ = false;
     bool idle_ = false; ///< waiting for the first bytes of a request
     bool reusable_ = false; ///< the last response was sent whole and keeps the connection
     bool closing_ = false;
--- /dev/null
+++ b/src/protocol/ResponseChannel.h
@@ -0,0 +1,23 @@
+#pragma once
+/// \file
+/// Defines how a request is answered, whether or not its connection is pipelined.
+/// The request does not know whether other responses have to be sent before its own.
+
+#include "transport/HttpServer.h"
+
+#include <functional>
+
+namespace kumquat {
+
+struct ResponseChannel
+{
+    /// Sends the response, or keeps it until those before it were sent.
+    std::function<void(HttpResponse, Yield)> write;
+    /// Calls the function once if the caller disconnects before stopWatching().
+    std::function<void(std::function<void()>)> watchDisconnect;
+    std::function<void()> stopWatching;
+    /// Resets the connection.
+    std::function<void()> abort;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/src/protocol/ResponseQueue.cpp
@@ -0,0 +1,73 @@
+#include "protocol/ResponseQueue.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+PendingResponsePtr ResponseQueue::add(bool isHeadRequest)
+{
+    auto pending = std::make_shared<PendingResponse>();
+    pending->isHeadRequest = isHeadRequest;
+    pending_.push_back(pending);
+    return pending;
+}
+
+void ResponseQueue::complete(const PendingResponsePtr &pending, HttpResponse response)
+{
+    if (isDisconnected_) {
+        remove(pending);
+        return;
+    }
+    heldBytes_ += response.body().size();
+    pending->response = std::move(response);
+    pending->isReady = true;
+}
+
+void ResponseQueue::remove(const PendingResponsePtr &pending)
+{
+    const auto found = std::find(pending_.begin(), pending_.end(), pending);
+    if (found == pending_.end()) {
+        return;
+    }
+    heldBytes_ -= pending->response.body().size();
+    pending_.erase(found);
+}
+
+PendingResponsePtr ResponseQueue::takeReady()
+{
+    if (pending_.empty() || !pending_.front()->isReady) {
+        return nullptr;
+    }
+    PendingResponsePtr first = pending_.front();
+    remove(first);
+    return first;
+}
+
+void ResponseQueue::watchDisconnect(const PendingResponsePtr &pending,
+                                    std::function<void()> onDisconnect)
+{
+    if (isDisconnected_) {
+        onDisconnect();
+        return;
+    }
+    pending->onDisconnect = std::move(onDisconnect);
+}
+
+// The callbacks may remove requests, so they are called on a copy.
+void ResponseQueue::disconnect()
+{
+    isDisconnected_ = true;
+    const std::deque<PendingResponsePtr> notified = pending_;
+    for (const PendingResponsePtr &pending : notified) {
+        if (pending->isReady) {
+            remove(pending);
+        }
+        const std::function<void()> onDisconnect = std::move(pending->onDisconnect);
+        pending->onDisconnect = nullptr;
+        if (onDisconnect) {
+            onDisconnect();
+        }
+    }
+}
+
+} // namespace kumquat
