Estimate the load of a target without a recent report by that of its service

Cause: an old report decayed to no load at all, and after 60 ms it no longer kept a full target from being chosen. Change: what a report no longer says is filled in by the mean of the recent reports on the service's targets, for the expected slowdown and for whether a target is full.

--- a/include/kumquat/Placement.h
+++ b/include/kumquat/Placement.h
@@ -17,6 +17,7 @@
     int slots = 1; ///< requests that the target runs at once
     int inFlight = 0; ///< requests that this entry has in flight at the target
     double externalLoad = 0; ///< reported requests in flight from other entries
+    double typicalLoad = 0; ///< of other entries at this service's targets; see setTypicalLoad()
     double slowdown = 1; ///< reported service time divided by the normal one
     std::chrono::microseconds reportAge { 0 };
     bool hasReport = false; ///< false: no load report was received yet
@@ -25,6 +26,10 @@
     bool sameFailureDomain = false; ///< as this entry
 };
 
+/// Sets `typicalLoad` of all candidates, which are those of one service, from their recent reports.
+/// A report that grows old says less about its own target than the others' reports do.
+void setTypicalLoad(std::vector<PlacementCandidate> &candidates);
+
 /// Estimates how many times its normal service time a request would take at \p candidate.
 /// Load can shift while a request runs, so older reports count for less.
 double expectedSlowdown(const PlacementCandidate &candidate);
@@ -34,8 +39,8 @@
 /// would make all requests at the target late.
 int optimalConcurrency(int slots);
 
-/// True when this entry alone uses all of optimalConcurrency(), or does so together with the other
-/// entries according to a recent report.
+/// True when this entry alone uses all of optimalConcurrency(), or probably does so together with
+/// the other entries.
 bool isKnownFull(const PlacementCandidate &candidate);
 
 /// The time that a request needs and the time that it has left.
--- a/src/coordination/entry/ServiceRuntime.cpp
+++ b/src/coordination/entry/ServiceRuntime.cpp
@@ -187,6 +187,7 @@
         candidate.sameFailureDomain = target.record.failureDomain == service.failureDomain;
         candidates.push_back(candidate);
     }
+    setTypicalLoad(candidates);
     return candidates;
 }
 
--- a/src/coordination/policy/Placement.cpp
+++ b/src/coordination/policy/Placement.cpp
@@ -14,6 +14,9 @@
 /// Time constants of the exponential decay of a report's weight: the duration of a few requests.
 constexpr Microseconds slowdownDecayTime { 300'000 };
 constexpr Microseconds loadDecayTime { 120'000 };
+constexpr Microseconds typicalLoadDecayTime { 240'000 };
+/// Weight of the assumption that a service is idle; a fresh report weighs 1.
+constexpr double noReportWeight = 1;
 /// Some targets slow down by this factor when this share of their slots is in use.
 constexpr double saturationThreshold = 0.8;
 constexpr double saturationSlowdown = 1.6;
@@ -23,8 +26,8 @@
 constexpr double sameDomainFactor = 0.97;
 /// Targets with a report younger than this are not probed.
 constexpr Microseconds freshReportAge { 5'000 };
-/// A report older than this does not prove that a target is full.
-constexpr Microseconds maxReportAge { 60'000 };
+/// A target counts as full when its estimated load is within this of the limit.
+constexpr double fullTolerance = 0.2;
 /// A request that would take longer than this many times its remaining time is not worth running.
 constexpr double maxObjectiveOvershoot = 1.6;
 /// A rejected caller retries after the objective divided by a number between these two.
@@ -49,12 +52,30 @@
 
 double decayedExternalLoad(const PlacementCandidate &candidate)
 {
-    return candidate.hasReport ? candidate.externalLoad * decay(candidate.reportAge, loadDecayTime)
-                               : 0;
+    const double weight = candidate.hasReport ? decay(candidate.reportAge, loadDecayTime) : 0;
+    return weight * candidate.externalLoad + (1 - weight) * candidate.typicalLoad;
 }
 
 } // namespace
 
+// Example: ten targets with 2 requests each, all reported one decay time ago: 10 * 0.37 * 2 / (10 *
+// 0.37 + 1) = 1.6. With no recent report it is 0, so that requests are tried again.
+void setTypicalLoad(std::vector<PlacementCandidate> &candidates)
+{
+    double weights = noReportWeight;
+    double load = 0;
+    for (const PlacementCandidate &candidate : candidates) {
+        if (candidate.hasReport) {
+            const double weight = decay(candidate.reportAge, typicalLoadDecayTime);
+            weights += weight;
+            load += weight * candidate.externalLoad;
+        }
+    }
+    for (PlacementCandidate &candidate : candidates) {
+        candidate.typicalLoad = load / weights;
+    }
+}
+
 // Example: 2 slots, one request in flight, slowdown 1 -> the new one takes the last slot: 1.6.
 // With two in flight it also queues for half a service time: 2.1.
 double expectedSlowdown(const PlacementCandidate &candidate)
@@ -89,9 +110,8 @@
 bool isKnownFull(const PlacementCandidate &candidate)
 {
     const int limit = optimalConcurrency(candidate.slots);
-    const bool isRecent = candidate.hasReport && candidate.reportAge < maxReportAge;
     return candidate.inFlight >= limit
-        || (isRecent && candidate.inFlight + candidate.externalLoad >= limit);
+        || candidate.inFlight + decayedExternalLoad(candidate) >= limit - fullTolerance;
 }
 
 bool isWorthWaiting(double slowdown, const RequestTiming &timing, Microseconds wait)
--- a/test/correctness/PlacementSimulation.cpp
+++ b/test/correctness/PlacementSimulation.cpp
@@ -94,6 +94,7 @@
             result[i].hasReport = report.reportedAtMs >= 0;
             result[i].reportAge = Milliseconds(now - report.reportedAtMs);
         }
+        setTypicalLoad(result);
         return result;
     }
 
@@ -146,13 +147,18 @@
             for (SimulatedRequest &request : target.running) {
                 request.remainingMs -= 1 / (target.slowdown * saturationFactor);
             }
+            std::vector<int> reporters;
             const auto ended = std::partition(
                 target.running.begin(), target.running.end(),
                 [](const SimulatedRequest &request) { return request.remainingMs > 0; });
             for (auto request = ended; request != target.running.end(); ++request) {
+                reporters.push_back(request->entry);
                 onTime_ += now - request->startedAt <= workload_.objectiveMs ? 1 : 0;
             }
             target.running.erase(ended, target.running.end());
+            for (const int entry : reporters) {
+                probe(entry, static_cast<std::size_t>(&target - targets_.data()), now);
+            }
         }
     }
 
@@ -227,6 +233,43 @@
     });
 }
 
+/// A burst beyond the capacity of targets that hang when full, where load probes are too few for
+/// each request: most of what an entry knows are the reports on its own responses.
+Workload scarceProbesWorkload()
+{
+    Workload workload;
+    workload.entries = 6;
+    workload.targets = 14;
+    workload.slots = 3;
+    workload.workMs = 66;
+    workload.objectiveMs = 210;
+    workload.requestsPerSecond = 330;
+    workload.slowFactor = 5;
+    workload.slowdownChangeMs = 150;
+    workload.durationMs = 5'000;
+    return workload;
+}
+
+double onTimeRateWithScarceProbes(double probesPerSecond, std::uint64_t seed)
+{
+    Simulation simulation(scarceProbesWorkload(), seed);
+    double budget = 0;
+    int budgetAt = 0;
+    return simulation.run([&](int entry, int now) {
+        budget += probesPerSecond * (now - budgetAt) / 1'000;
+        budgetAt = now;
+        constexpr std::size_t most = 14;
+        const std::size_t count = std::min(most, static_cast<std::size_t>(budget));
+        const auto probed
+            = candidatesToProbe(simulation.candidates(entry, now), count, simulation.random());
+        budget -= static_cast<double>(probed.size());
+        for (const std::size_t target : probed) {
+            simulation.probe(entry, target, now);
+        }
+        return selectTarget(simulation.candidates(entry, now), simulation.random());
+    });
+}
+
 double meanOverSeeds(const std::function<double(std::uint64_t)> &rate)
 {
     constexpr std::uint64_t seeds = 4;
@@ -261,6 +304,19 @@
     CHECK_TRUE(many > few);
 }
 
+// With the load probes that a deployment allows, a burst must be served within a tenth of what
+// probing every target for each request serves: old reports must not make busy targets look idle.
+TEST(PlacementSimulation, aBurstIsServedWithFewProbes)
+{
+    constexpr double allowedPerSecond = 14 * 45;
+    constexpr double unlimited = 1e6;
+    const double scarce = meanOverSeeds(
+        [](std::uint64_t seed) { return onTimeRateWithScarceProbes(allowedPerSecond, seed); });
+    const double full = meanOverSeeds(
+        [](std::uint64_t seed) { return onTimeRateWithScarceProbes(unlimited, seed); });
+    CHECK_TRUE(scarce >= full - 0.10);
+}
+
 TEST(PlacementSimulation, aBurstIsServedBetterWithThreeOfFourSlots)
 {
     LONGS_EQUAL(3, optimalConcurrency(4));
