Keep the last free slot of a target for requests that can still be on time

Ruled out: refusing more at the last try; the slots of slow targets, which that frees, help nobody. Change: how long ago a request was first sent follows from the time that its caller has left; the objective counts from then. A request that cannot meet it uses only capacity that is not the last of its target, an idle slow target first. In calm nothing changes for it.

--- a/src/coordination/entry/HostRoutePlacement.cpp
+++ b/src/coordination/entry/HostRoutePlacement.cpp
@@ -34,6 +34,13 @@
     double slowdown = 1;
 };
 
+RequestTiming requestTiming(const HostRouteRequest &request)
+{
+    const auto end = request.firstSentAt + request.route->configuration.latencyObjective;
+    return { request.service->runtime->baselineServiceTime(),
+             std::chrono::duration_cast<Microseconds>(end - Clock::now()) };
+}
+
 /// Probes the most promising targets of \p scope and returns the best one; does not acquire it.
 BestTarget probeAndSelect(HostRouteRequest &request, PlacementScope scope,
                           const std::vector<std::string> &tried, Yield yield)
@@ -44,20 +51,15 @@
     probeLoad(request.worker, request.dialect, service, targetsToProbe(request, candidates),
               loadProbeMaxWait, yield);
     candidates = placementCandidates(service, scope, tried, Clock::now());
-    const std::size_t best = selectTarget(candidates, request.worker.random());
+    const PlacementClass placementClass
+        = canMeetObjective(requestTiming(request)) ? PlacementClass::onTime : PlacementClass::late;
+    const std::size_t best = selectTarget(candidates, request.worker.random(), placementClass);
     if (best == candidates.size()) {
         return {};
     }
     return { service.targets[candidates[best].index], expectedSlowdown(candidates[best]) };
 }
 
-RequestTiming requestTiming(const HostRouteRequest &request)
-{
-    const auto end = request.arrival + request.route->configuration.latencyObjective;
-    return { request.service->runtime->baselineServiceTime(),
-             std::chrono::duration_cast<Microseconds>(end - Clock::now()) };
-}
-
 AcquiredTarget acquire(const BestTarget &best)
 {
     const bool taken
@@ -78,6 +80,9 @@
         return {};
     }
     const RequestTiming time = requestTiming(request);
+    if (!canMeetObjective(time)) {
+        return acquire(best);
+    }
     const bool declined = lastTry ? farExceedsObjective(best.slowdown, time)
                                   : isWorthWaiting(best.slowdown, time, placementRetryInterval);
     return declined ? AcquiredTarget { nullptr, best.slowdown } : acquire(best);
--- a/src/coordination/entry/RoutingTable.h
+++ b/src/coordination/entry/RoutingTable.h
@@ -4,6 +4,7 @@
 /// A change of configuration or targets publishes a new table; requests keep the one they read.
 
 #include "coordination/entry/ServiceRuntime.h"
+#include "coordination/policy/CallerTimeLimit.h"
 #include "protocol/ConfigurationVersion.h"
 
 #include <string_view>
@@ -21,6 +22,7 @@
 struct RouteRuntime
 {
     std::atomic<std::uint64_t> requests { 0 }; ///< counted for weighted splits
+    CallerTimeLimit callerTimeLimit;
 };
 
 /// One immutable version of a host route, with the services that its requests are split among.
