Refuse responses without end; bound the memory of responses that are being read

Cause: a body was read up to 64 MiB and then passed on as if it were whole, and each response could take that much memory. A target whose bytes never end made its caller get a 200 with a cut body. Change: a response that is not complete within 64 MiB fails (502, or another target for an idempotent request); all responses that one thread reads hold 96 MiB together. Test: test_endless_responses (head, headers, interim responses, body, chunks, chunk extension; one and twelve at a time, memory below the smallest entry's) failed before at the body: 200.

Also: a report of fewer requests than had ended went to other entries as 65,535 in flight and hid a free target; it counts as 0, and figures too large for the message are bounded. Both tests of LoadReportPropagation failed before.

--- a/src/coordination/entry/Attempt.h
+++ b/src/coordination/entry/Attempt.h
@@ -4,6 +4,7 @@
 /// The outcome tells whether the request may have run, which decides whether it may be retried.
 
 #include "coordination/entry/RoutingTable.h"
+#include "coordination/policy/ByteBudget.h"
 #include "protocol/Dialect.h"
 #include "protocol/OnceMessages.h"
 #include "protocol/TargetConnectionPool.h"
@@ -33,7 +34,10 @@
     {
     }
     asio::io_context &loop;
+    /// Of all responses of host routes that are being read.
+    static constexpr std::size_t maxResponseBytes = 96 * 1024 * 1024;
     TargetConnectionPool pool;
+    ByteBudget responseBytes { maxResponseBytes };
     Random random;
     const EntryHooks &hooks;
 };
--- a/src/coordination/entry/HostRouteExchange.cpp
+++ b/src/coordination/entry/HostRouteExchange.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds singleRunMaxIdle { 1'000 };
 constexpr Milliseconds connectTimeout { 400 };
 constexpr std::size_t maxResponseBytes = 64 * 1024 * 1024;
+/// A response's body is read in parts of this size, so that all of them stay within the budget.
+constexpr std::size_t responsePartBytes = 1024 * 1024;
 /// A longer body is sent while the response is read, because some targets respond before they
 /// have read the whole body.
 constexpr std::size_t concurrentSendThresholdBytes = 16 * 1024;
@@ -53,6 +55,7 @@
     ErrorCode send(Yield yield);
     ErrorCode readMatchingResponse(Yield yield);
     ErrorCode readResponse(Yield yield);
+    ErrorCode readWholeBody(std::string &body, Yield yield);
     bool matchesRequest() const;
     void classify(ErrorCode error);
     void releaseConnection(Yield yield);
@@ -112,7 +115,7 @@
     ErrorCode error = connection_->readHeader(headRequest, yield);
     std::string body;
     if (!error) {
-        error = connection_->readBody(body, maxResponseBytes, yield);
+        error = readWholeBody(body, yield);
     }
     if (!error) {
         result_.response = HttpResponse(connection_->header());
@@ -121,6 +124,26 @@
     return error;
 }
 
+// Fails with http::error::body_limit for a body that is too long, which may have no end.
+ErrorCode Exchange::readWholeBody(std::string &body, Yield yield)
+{
+    ByteBudget &budget = request_.worker.responseBytes;
+    std::size_t taken = 0;
+    ErrorCode error;
+    while (!error && !connection_->isResponseComplete()) {
+        const std::size_t part = std::min(responsePartBytes, budget.available());
+        if (part == 0 || body.size() >= maxResponseBytes) {
+            error = http::error::body_limit;
+            break;
+        }
+        budget.take(part);
+        taken += part;
+        error = connection_->readBody(body, body.size() + part, yield);
+    }
+    budget.giveBack(taken);
+    return error;
+}
+
 // Skips late duplicate responses to earlier requests on the same connection.
 ErrorCode Exchange::readMatchingResponse(Yield yield)
 {
--- a/src/coordination/entry/LoadReportSharing.cpp
+++ b/src/coordination/entry/LoadReportSharing.cpp
@@ -39,11 +39,14 @@
             continue;
         }
         constexpr double percent = 100;
+        constexpr double largest = std::numeric_limits<std::uint16_t>::max();
         SharedLoadReport report;
         report.targetHash = entry.first;
         report.ageMs = static_cast<std::uint32_t>(toMilliseconds(now - reportTime));
-        report.inFlight = static_cast<std::uint16_t>(stats.reportedInFlight());
-        report.slowdownPercent = static_cast<std::uint16_t>(stats.reportedSlowdown() * percent);
+        report.inFlight
+            = static_cast<std::uint16_t>(std::min<double>(largest, stats.reportedInFlight()));
+        report.slowdownPercent
+            = static_cast<std::uint16_t>(std::min(largest, stats.reportedSlowdown() * percent));
         batch.reports.push_back(report);
     }
     lastSentAt_ = now;
--- a/src/coordination/entry/Target.cpp
+++ b/src/coordination/entry/Target.cpp
@@ -78,10 +78,11 @@
 
 void TargetStats::recordLoadReport(const LoadReport &report, int ownCompleted, TimePoint now)
 {
-    recordReportedInFlight(report.inFlight - ownCompleted, now);
+    const int inFlight = std::max(0, report.inFlight - ownCompleted);
+    recordReportedInFlight(inFlight, now);
     constexpr double percent = 100;
     reportedSlowdown_.store(report.slowdownPercent / percent, std::memory_order_relaxed);
-    reportedInFlight_.store(report.inFlight - ownCompleted, std::memory_order_relaxed);
+    reportedInFlight_.store(inFlight, std::memory_order_relaxed);
     store(lastDirectReportAt_, now);
     store(unresponsiveAt_, TimePoint());
 }
--- a/test/correctness/LoadReportPropagation.cpp
+++ b/test/correctness/LoadReportPropagation.cpp
@@ -113,6 +113,26 @@
     CHECK_TRUE(sent[0].size() <= DatagramSocket::maxPayloadBytes);
 }
 
+// A target may report before it counts the request that it answers.
+TEST(LoadReportPropagation, anIdleTargetIsReportedAsIdle)
+{
+    clock.advance(Milliseconds(5));
+    statsAt(senderTable, 3).recordLoadReport(load(0, 100), 1, clock.now);
+    sender.sendReports(clock.now);
+    receiver.receive(sent.at(0), clock.now);
+    DOUBLES_EQUAL(0, statsAt(receiverTable, 3).reportedExternalLoad(), 0);
+}
+
+TEST(LoadReportPropagation, figuresThatAreTooLargeForAMessageAreBounded)
+{
+    clock.advance(Milliseconds(5));
+    statsAt(senderTable, 3).recordLoadReport(load(65'536, 6'553'600), 0, clock.now);
+    sender.sendReports(clock.now);
+    receiver.receive(sent.at(0), clock.now);
+    DOUBLES_EQUAL(65'535, statsAt(receiverTable, 3).reportedExternalLoad(), 0);
+    DOUBLES_EQUAL(655.35, statsAt(receiverTable, 3).reportedSlowdown(), 0.01);
+}
+
 TEST(LoadReportPropagation, anInvalidPayloadIsIgnored)
 {
     receiver.receive("nonsense", clock.now);
--- /dev/null
+++ b/test/processes/test_endless_responses.py
@@ -0,0 +1,140 @@
+"""Process tests of targets whose bytes never end, in a head or in a body, until the entry closes."""
+
+import http.client
+import json
+import re
+import socket
+import threading
+import time
+import unittest
+
+from platform_fleet import PlatformFleet, document
+from support import wait_until
+
+SERVICE = "catalogue-endless"
+# The smallest entry of the known deployments has 393 MB.
+MEMORY_LIMIT_KB = 393_000
+
+
+class EndlessTarget:
+    """A target that answers load probes, and any other request with bytes without end."""
+
+    heads = {
+        "head": b"HTTP/1.1 200 OK\r\nX-Long: ",
+        "headers": b"HTTP/1.1 200 OK\r\n",
+        "interim": b"",
+        "body": b"HTTP/1.1 200 OK\r\nKumquatdeal-Response-Stamp: s\r\n%s\r\n",
+        "chunks": (b"HTTP/1.1 200 OK\r\nKumquatdeal-Response-Stamp: s\r\n%s"
+                   b"Transfer-Encoding: chunked\r\n\r\n"),
+        "extension": (b"HTTP/1.1 200 OK\r\nKumquatdeal-Response-Stamp: s\r\n%s"
+                      b"Transfer-Encoding: chunked\r\n\r\n5;"),
+    }
+    repeated = {
+        "head": b"h" * 65536, "headers": b"X-More: y\r\n" * 4096, "body": b"b" * 4_194_304,
+        "interim": b"HTTP/1.1 100 Continue\r\n\r\n" * 2048, "extension": b"e" * 65536,
+        "chunks": (b"400000\r\n" + b"c" * 0x400000 + b"\r\n"),
+    }
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.stopped = threading.Event()
+        self.born = int(time.time() * 1000)
+        for job in (self.accept, self.announce):
+            threading.Thread(target=job, daemon=True).start()
+
+    def stop(self):
+        self.stopped.set()
+        self.listener.close()
+
+    def announce(self):
+        sequence = 0
+        while not self.stopped.is_set():
+            sequence += 1
+            body = json.dumps({"Service": SERVICE, "Address": self.address, "Zone": "a",
+                               "Version": "v1", "Slots": 64, "State": "ready", "WarmupLeft": "0ms",
+                               "Sequence": sequence, "born": self.born})
+            try:
+                self.fleet.call(self.fleet.control_addresses[sequence % 3], "PUT",
+                                "/kumquat/v1/targets/endless", body)
+            except (OSError, http.client.HTTPException):
+                pass
+            self.stopped.wait(0.5)
+
+    def accept(self):
+        while not self.stopped.is_set():
+            try:
+                connection = self.listener.accept()[0]
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        try:
+            while not self.stopped.is_set():
+                request = connection.recv(65536)
+                if not request:
+                    return
+                kind = re.match(rb"GET /endless/(\w+)", request)
+                if not kind:
+                    connection.sendall(b"HTTP/1.1 200 OK\r\nKumquatdeal-Instance-Id: endless\r\n"
+                                       b"Kumquatdeal-Server-Load: 0,0,64,100\r\n"
+                                       b"Content-Length: 0\r\n\r\n")
+                    continue
+                name = kind.group(1).decode()
+                request_id = re.search(rb"Kumquatdeal-Request-Id: .*?\r\n", request).group(0)
+                connection.sendall(self.heads[name].replace(b"%s", request_id))
+                while not self.stopped.is_set():
+                    connection.sendall(self.repeated[name])
+        except OSError:
+            pass  # The entry has closed the connection.
+        finally:
+            connection.close()
+
+
+class EndlessResponses(unittest.TestCase):
+    def setUp(self):
+        self.fleet = PlatformFleet(entries=1)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+        target = EndlessTarget(self.fleet)
+        self.addCleanup(target.stop)
+        changed = document(5, (("/lookup/", "safe", "catalogue"), ("/book/", "unsafe", "orders"),
+                               ("/endless/", "safe", SERVICE)))
+        changed["Clusters"].append(dict(changed["Clusters"][0], Name=SERVICE))
+        self.fleet.put_document(changed)
+        wait_until(lambda: '"target":"endless"' in self.log(), 10, "the target to be known")
+
+    def log(self):
+        with open(self.fleet.processes["entry-0"].log_path) as file:
+            return file.read()
+
+    def peak_memory_kb(self):
+        with open("/proc/%d/status" % self.fleet.processes["entry-0"].pid) as file:
+            return int(re.search(r"VmHWM:\s+(\d+)", file.read()).group(1))
+
+    def statuses(self, kind, count):
+        """The statuses of some requests that are sent at the same time."""
+        results = []
+        callers = [threading.Thread(
+            target=lambda: results.append(self.fleet.request(0, "/endless/" + kind)[0]))
+            for _ in range(count)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join(20)
+        return results
+
+    def test_no_endless_response_is_passed_on(self):
+        for kind in EndlessTarget.heads:
+            for count in (1, 12):
+                results = self.statuses(kind, count)
+                self.assertEqual(len(results), count, kind)
+                self.assertTrue(set(results) <= {502, 503, 504}, (kind, results))
+            self.assertEqual(self.fleet.request(0, "/lookup/x")[0], 200)
+        self.assertLess(self.peak_memory_kb(), MEMORY_LIMIT_KB)
+
+
+if __name__ == "__main__":
+    unittest.main()
