--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -260,7 +260,8 @@
     ExchangeResult &result = ended.result;
     recordOutcome(target, result, Clock::now() - ended.startTime);
     if (result.outcome == ExchangeOutcome::completed) {
-        runtime_.recordBaselineSample(Clock::now() - ended.startTime, ended.slowdown);
+        request_.route->runtime->baselineServiceTime.record(Clock::now() - ended.startTime,
+                                                            ended.slowdown);
     }
     possibleRuns_ += provesNotRun(result.outcome) ? 0 : 1;
     const bool completed = result.outcome == ExchangeOutcome::completed;
--- a/src/coordination/entry/HostRoutePlacement.cpp
+++ b/src/coordination/entry/HostRoutePlacement.cpp
@@ -37,7 +37,7 @@
 RequestTiming requestTiming(const HostRouteRequest &request)
 {
     const auto end = request.firstSentAt + request.route->configuration.latencyObjective;
-    return { request.service->runtime->baselineServiceTime(),
+    return { request.route->runtime->baselineServiceTime.mean(),
              std::chrono::duration_cast<Microseconds>(end - Clock::now()) };
 }
 
--- a/src/coordination/entry/RoutingTable.h
+++ b/src/coordination/entry/RoutingTable.h
@@ -4,6 +4,7 @@
 /// A change of configuration or targets publishes a new table; requests keep the one they read.
 
 #include "coordination/entry/ServiceRuntime.h"
+#include "coordination/policy/BaselineServiceTime.h"
 #include "coordination/policy/CallerTimeLimit.h"
 #include "protocol/ConfigurationVersion.h"
 
@@ -23,6 +24,7 @@
 {
     std::atomic<std::uint64_t> requests { 0 }; ///< counted for weighted splits
     CallerTimeLimit callerTimeLimit;
+    BaselineServiceTime baselineServiceTime;
 };
 
 /// One immutable version of a host route, with the services that its requests are split among.
--- a/src/coordination/entry/ServiceRuntime.cpp
+++ b/src/coordination/entry/ServiceRuntime.cpp
@@ -10,8 +10,6 @@
 /// Weights of load probes that took less, or more, than the typical time.
 constexpr double fasterProbeWeight = 0.2;
 constexpr double slowerProbeWeight = 0.01;
-/// Targets expected to be slower than this do not contribute to the baseline service time.
-constexpr double maxBaselineSlowdown = 1.2;
 
 /// In larger services only this many targets are considered, to bound the cost of a choice.
 constexpr std::size_t maxCandidates = 48;
@@ -141,23 +139,6 @@
     return asMicroseconds(loadProbeTimeUs_);
 }
 
-// A target that was slow at the start is no measure of the baseline, since the cause may have
-// passed meanwhile. The first sample always counts, so that there is an estimate.
-void ServiceRuntime::recordBaselineSample(Clock::duration elapsed, double slowdown)
-{
-    if (slowdown <= maxBaselineSlowdown
-        || baselineServiceTimeUs_.load(std::memory_order_relaxed) == 0) {
-        updateAverage(
-            baselineServiceTimeUs_,
-            std::chrono::duration_cast<Clock::duration>(elapsed / std::max(1.0, slowdown)));
-    }
-}
-
-Microseconds ServiceRuntime::baselineServiceTime() const
-{
-    return asMicroseconds(baselineServiceTimeUs_);
-}
-
 std::vector<PlacementCandidate> placementCandidates(const ActiveService &service,
                                                     PlacementScope scope,
                                                     const std::vector<std::string> &tried,
--- a/src/coordination/entry/ServiceRuntime.h
+++ b/src/coordination/entry/ServiceRuntime.h
@@ -66,12 +66,6 @@
     /// Close to the shortest recent time; zero before the first probe.
     Microseconds typicalLoadProbeTime() const;
 
-    /// Records the service time at a target that was expected to be \p slowdown times slower than
-    /// the baseline.
-    void recordBaselineSample(Clock::duration elapsed, double slowdown);
-    /// Service time at a target that is not slowed down; zero before the first response.
-    Microseconds baselineServiceTime() const;
-
     RetryBudget retryBudget;
     TokenBucket loadProbeBudget { 0, 0 }; ///< used by one worker
     LatencyRecorder latency; ///< of answered requests, as callers observe it
@@ -82,7 +76,6 @@
     std::atomic<std::size_t> waitingCount_ { 0 };
     std::atomic<double> serviceTimeUs_ { 0 };
     std::atomic<double> loadProbeTimeUs_ { 0 };
-    std::atomic<double> baselineServiceTimeUs_ { 0 };
     std::mutex mutex_;
     std::deque<std::shared_ptr<Waiter>> waiters_;
 };
--- a/test/correctness/BaselineServiceTime.cpp
+++ b/test/correctness/BaselineServiceTime.cpp
@@ -1,25 +1,40 @@
 // The baseline service time is not learned from slow targets: in a burst most targets are slow, and
 // the estimate would grow with them.
+#include "coordination/policy/BaselineServiceTime.h"
 #include "TestSupport.h"
-#include "coordination/entry/ServiceRuntime.h"
+#include "kumquat/Placement.h"
 
 using namespace kumquat;
 
-TEST_GROUP(BaselineServiceTime) {};
+TEST_GROUP(BaselineEstimate) {};
 
-TEST(BaselineServiceTime, responsesFromSlowTargetsDoNotChangeIt)
+TEST(BaselineEstimate, responsesFromSlowTargetsDoNotChangeIt)
 {
-    ServiceRuntime runtime;
-    runtime.recordBaselineSample(Milliseconds(200), 1);
+    BaselineServiceTime baseline;
+    baseline.record(Milliseconds(200), 1);
     for (int i = 0; i < 100; ++i) {
-        runtime.recordBaselineSample(Milliseconds(1'200), 1.6);
+        baseline.record(Milliseconds(1'200), 1.6);
     }
-    LONGS_EQUAL(200'000, runtime.baselineServiceTime().count());
+    LONGS_EQUAL(200'000, baseline.mean().count());
 }
 
-TEST(BaselineServiceTime, theFirstResponseCountsAtAnySlowdown)
+TEST(BaselineEstimate, theFirstResponseCountsAtAnySlowdown)
 {
-    ServiceRuntime runtime;
-    runtime.recordBaselineSample(Milliseconds(400), 4);
-    LONGS_EQUAL(100'000, runtime.baselineServiceTime().count());
+    BaselineServiceTime baseline;
+    baseline.record(Milliseconds(400), 4);
+    LONGS_EQUAL(100'000, baseline.mean().count());
+}
+
+// With one estimate for the service, the long requests made the short ones look late at any target.
+TEST(BaselineEstimate, shortRequestsBesideLongOnesCanMeetTheirObjective)
+{
+    BaselineServiceTime shortRoute;
+    BaselineServiceTime longRoute;
+    for (int i = 0; i < 100; ++i) {
+        shortRoute.record(Milliseconds(48), 1);
+        longRoute.record(Milliseconds(150), 1);
+    }
+    const Milliseconds shortObjective(150);
+    CHECK_TRUE(canMeetObjective({ shortRoute.mean(), shortObjective }));
+    CHECK_FALSE(canMeetObjective({ longRoute.mean(), shortObjective }));
 }
