Test that a late second copy of an answer reaches nobody

No change of code. A target sends the previous answer once more, on a connection that is in use again; 40 requests in turn, each gets its own answer. Passes on the code as it was.

--- a/test/processes/test_endless_responses.py
+++ b/test/processes/test_wrong_responses.py
@@ -1,4 +1,4 @@
-"""Process tests of targets whose bytes never end, in a head or in a body, until the entry closes."""
+"""Process tests of targets that send wrong bytes: without end, or a second copy of an answer, late."""
 
 import http.client
 import json
@@ -11,13 +11,13 @@
 from platform_fleet import PlatformFleet, document
 from support import wait_until
 
-SERVICE = "catalogue-endless"
+SERVICE = "catalogue-wrong"
 # The smallest entry of the known deployments has 393 MB.
 MEMORY_LIMIT_KB = 393_000
 
 
-class EndlessTarget:
-    """A target that answers load probes, and any other request with bytes without end."""
+class WrongTarget:
+    """A target that answers load probes, and any other request wrongly."""
 
     heads = {
         "head": b"HTTP/1.1 200 OK\r\nX-Long: ",
@@ -40,6 +40,7 @@
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         self.stopped = threading.Event()
+        self.copies = 0  # sent late, on a connection in use again
         self.born = int(time.time() * 1000)
         for job in (self.accept, self.announce):
             threading.Thread(target=job, daemon=True).start()
@@ -57,7 +58,7 @@
                                "Sequence": sequence, "born": self.born})
             try:
                 self.fleet.call(self.fleet.control_addresses[sequence % 3], "PUT",
-                                "/kumquat/v1/targets/endless", body)
+                                "/kumquat/v1/targets/wrong", body)
             except (OSError, http.client.HTTPException):
                 pass
             self.stopped.wait(0.5)
@@ -71,19 +72,28 @@
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
     def serve(self, connection):
+        late_copy = b""
         try:
             while not self.stopped.is_set():
                 request = connection.recv(65536)
                 if not request:
                     return
-                kind = re.match(rb"GET /endless/(\w+)", request)
+                kind = re.match(rb"GET /wrong/(\w+)", request)
                 if not kind:
-                    connection.sendall(b"HTTP/1.1 200 OK\r\nKumquatdeal-Instance-Id: endless\r\n"
+                    connection.sendall(b"HTTP/1.1 200 OK\r\nKumquatdeal-Instance-Id: wrong\r\n"
                                        b"Kumquatdeal-Server-Load: 0,0,64,100\r\n"
                                        b"Content-Length: 0\r\n\r\n")
                     continue
                 name = kind.group(1).decode()
                 request_id = re.search(rb"Kumquatdeal-Request-Id: .*?\r\n", request).group(0)
+                if name == "twice":
+                    answer = (b"HTTP/1.1 200 OK\r\nKumquatdeal-Response-Stamp: s\r\n%s"
+                              b"Content-Length: %d\r\n\r\n%s"
+                              % (request_id, len(request_id), request_id))
+                    self.copies += 1 if late_copy else 0
+                    connection.sendall(late_copy + answer)
+                    late_copy = answer
+                    continue
                 connection.sendall(self.heads[name].replace(b"%s", request_id))
                 while not self.stopped.is_set():
                     connection.sendall(self.repeated[name])
@@ -93,18 +103,18 @@
             connection.close()
 
 
-class EndlessResponses(unittest.TestCase):
+class WrongResponses(unittest.TestCase):
     def setUp(self):
         self.fleet = PlatformFleet(entries=1)
         self.addCleanup(self.fleet.stop)
         self.fleet.start()
-        target = EndlessTarget(self.fleet)
-        self.addCleanup(target.stop)
+        self.target = WrongTarget(self.fleet)
+        self.addCleanup(self.target.stop)
         changed = document(5, (("/lookup/", "safe", "catalogue"), ("/book/", "unsafe", "orders"),
-                               ("/endless/", "safe", SERVICE)))
+                               ("/wrong/", "safe", SERVICE)))
         changed["Clusters"].append(dict(changed["Clusters"][0], Name=SERVICE))
         self.fleet.put_document(changed)
-        wait_until(lambda: '"target":"endless"' in self.log(), 10, "the target to be known")
+        wait_until(lambda: '"target":"wrong"' in self.log(), 10, "the target to be known")
 
     def log(self):
         with open(self.fleet.processes["entry-0"].log_path) as file:
@@ -118,7 +128,7 @@
         """The statuses of some requests that are sent at the same time."""
         results = []
         callers = [threading.Thread(
-            target=lambda: results.append(self.fleet.request(0, "/endless/" + kind)[0]))
+            target=lambda: results.append(self.fleet.request(0, "/wrong/" + kind)[0]))
             for _ in range(count)]
         for caller in callers:
             caller.start()
@@ -127,7 +137,7 @@
         return results
 
     def test_no_endless_response_is_passed_on(self):
-        for kind in EndlessTarget.heads:
+        for kind in WrongTarget.heads:
             for count in (1, 12):
                 results = self.statuses(kind, count)
                 self.assertEqual(len(results), count, kind)
@@ -135,6 +145,13 @@
             self.assertEqual(self.fleet.request(0, "/lookup/x")[0], 200)
         self.assertLess(self.peak_memory_kb(), MEMORY_LIMIT_KB)
 
+    def test_a_late_second_copy_answers_nobody(self):
+        for _ in range(40):
+            status, headers, body, request_id = self.fleet.request(0, "/wrong/twice")
+            self.assertEqual((status, headers["Kumquatdeal-Request-Id"]), (200, request_id))
+            self.assertIn(request_id.encode(), body)
+        self.assertGreater(self.target.copies, 10)
+
 
 if __name__ == "__main__":
     unittest.main()
