--- a/include/kumquat/Placement.h
+++ b/include/kumquat/Placement.h
@@ -57,11 +57,6 @@
 /// True when a request with this \p timing could meet its latency objective at a fast target.
 bool canMeetObjective(const RequestTiming &timing);
 
-/// True when the free capacity of \p candidate is kept for requests that can meet their objective.
-/// During a burst, callers that were rejected before come back too late for theirs; without a
-/// reserve they would make the others late too.
-bool isReserved(const PlacementCandidate &candidate);
-
 /// True when a target with this \p slowdown would exceed the latency objective by so much that its
 /// capacity is better kept for requests that can still meet theirs.
 bool farExceedsObjective(double slowdown, const RequestTiming &timing);
@@ -77,16 +72,9 @@
 std::vector<std::size_t> candidatesToProbe(const std::vector<PlacementCandidate> &candidates,
                                            std::size_t count, std::uint64_t random);
 
-/// Which free capacity a request may use.
-enum class PlacementClass {
-    onTime, ///< all of it: the request can meet its latency objective
-    late, ///< only what isReserved() does not keep for others
-};
-
-/// The position of the candidate to send a request to, or candidates.size() when none has room.
+/// The position of the candidate to send a request to, or candidates.size() when all are full.
 /// \p random selects among those about as good as the best, so that entries do not all select the
 /// same target.
-std::size_t selectTarget(const std::vector<PlacementCandidate> &candidates, std::uint64_t random,
-                         PlacementClass placementClass = PlacementClass::onTime);
+std::size_t selectTarget(const std::vector<PlacementCandidate> &candidates, std::uint64_t random);
 
 } // namespace kumquat
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -242,18 +242,14 @@
                                routing->nextService(*route),
                                routing->version,
                                start,
-                               start,
                                {},
                                HttpRequest(header),
                                std::string(header[names.requestId]),
                                0 };
     removeHopByHop(request.request);
     const Milliseconds timeout = route->configuration.timeout;
-    const auto left = readDeadline(header, names.deadline);
-    if (left) {
-        request.firstSentAt -= route->runtime->callerTimeLimit.recordAndEstimateAge(*left);
-    }
-    request.deadline = start + std::min(timeout, left.value_or(timeout));
+    request.deadline
+        = start + std::min(timeout, readDeadline(header, names.deadline).value_or(timeout));
     ++request.service->runtime->counters.requests;
     request.service->runtime->retryBudget.deposit();
     return request;
--- a/src/coordination/entry/HostRouteCall.h
+++ b/src/coordination/entry/HostRouteCall.h
@@ -22,7 +22,6 @@
     std::shared_ptr<const ActiveService> service;
     ConfigurationVersion version; ///< of the configuration that the route comes from
     TimePoint arrival;
-    TimePoint firstSentAt; ///< estimated; before the arrival when the caller tries again
     TimePoint deadline; ///< the earlier of the caller's and the route's
     HttpRequest request; ///< as forwarded, without the headers that differ per target
     std::string requestId;
--- a/src/coordination/entry/HostRoutePlacement.cpp
+++ b/src/coordination/entry/HostRoutePlacement.cpp
@@ -36,7 +36,7 @@
 
 RequestTiming requestTiming(const HostRouteRequest &request)
 {
-    const auto end = request.firstSentAt + request.route->configuration.latencyObjective;
+    const auto end = request.arrival + request.route->configuration.latencyObjective;
     return { request.route->runtime->baselineServiceTime.mean(),
              std::chrono::duration_cast<Microseconds>(end - Clock::now()) };
 }
@@ -51,9 +51,7 @@
     probeLoad(request.worker, request.dialect, service, targetsToProbe(request, candidates),
               loadProbeMaxWait, yield);
     candidates = placementCandidates(service, scope, tried, Clock::now());
-    const PlacementClass placementClass
-        = canMeetObjective(requestTiming(request)) ? PlacementClass::onTime : PlacementClass::late;
-    const std::size_t best = selectTarget(candidates, request.worker.random(), placementClass);
+    const std::size_t best = selectTarget(candidates, request.worker.random());
     if (best == candidates.size()) {
         return {};
     }
@@ -80,9 +78,6 @@
         return {};
     }
     const RequestTiming time = requestTiming(request);
-    if (!canMeetObjective(time)) {
-        return acquire(best);
-    }
     const bool declined = lastTry ? farExceedsObjective(best.slowdown, time)
                                   : isWorthWaiting(best.slowdown, time, placementRetryInterval);
     return declined ? AcquiredTarget { nullptr, best.slowdown } : acquire(best);
--- a/src/coordination/entry/RoutingTable.h
+++ b/src/coordination/entry/RoutingTable.h
@@ -5,7 +5,6 @@
 
 #include "coordination/entry/ServiceRuntime.h"
 #include "coordination/policy/BaselineServiceTime.h"
-#include "coordination/policy/CallerTimeLimit.h"
 #include "protocol/ConfigurationVersion.h"
 
 #include <string_view>
@@ -23,7 +22,6 @@
 struct RouteRuntime
 {
     std::atomic<std::uint64_t> requests { 0 }; ///< counted for weighted splits
-    CallerTimeLimit callerTimeLimit;
     BaselineServiceTime baselineServiceTime;
 };
 
--- a/src/coordination/policy/Placement.cpp
+++ b/src/coordination/policy/Placement.cpp
@@ -129,15 +129,6 @@
     return serviceTime * saturationSlowdown < static_cast<double>(timing.untilObjective.count());
 }
 
-// Example: of 3 slots two are useful, so a request that is late anyway needs an idle target. Of one
-// slot none can be kept.
-bool isReserved(const PlacementCandidate &candidate)
-{
-    const int limit = optimalConcurrency(candidate.slots);
-    const double load = candidate.inFlight + decayedExternalLoad(candidate);
-    return limit > 1 && load >= limit - 1 - fullTolerance;
-}
-
 bool farExceedsObjective(double slowdown, const RequestTiming &timing)
 {
     const double expectedTime = static_cast<double>(timing.baselineServiceTime.count()) * slowdown;
@@ -184,22 +175,17 @@
     return positions;
 }
 
-std::size_t selectTarget(const std::vector<PlacementCandidate> &candidates, std::uint64_t random,
-                         PlacementClass placementClass)
+std::size_t selectTarget(const std::vector<PlacementCandidate> &candidates, std::uint64_t random)
 {
-    const auto hasRoom = [placementClass](const PlacementCandidate &candidate) {
-        return !isKnownFull(candidate)
-            && (placementClass == PlacementClass::onTime || !isReserved(candidate));
-    };
     double best = std::numeric_limits<double>::max();
     for (const PlacementCandidate &candidate : candidates) {
-        if (hasRoom(candidate)) {
+        if (!isKnownFull(candidate)) {
             best = std::min(best, expectedSlowdown(candidate));
         }
     }
     std::vector<std::size_t> tied;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (hasRoom(candidates[i]) && expectedSlowdown(candidates[i]) <= best * tieTolerance) {
+        if (!isKnownFull(candidates[i]) && expectedSlowdown(candidates[i]) <= best * tieTolerance) {
             tied.push_back(i);
         }
     }
