Choose targets for a retry from the present table

Cause: a request kept the targets of the table that it was routed with. Change: each placement looks the service up in the table in force.

--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -240,12 +240,16 @@
                                *core_.dialect,
                                route,
                                routing->nextService(*route),
+                               {},
                                routing->version,
                                start,
                                {},
                                HttpRequest(header),
                                std::string(header[names.requestId]),
                                0 };
+    request.currentService = [this, name = request.service->configuration.name] {
+        return core_.routing.read()->findService(name);
+    };
     removeHopByHop(request.request);
     const Milliseconds timeout = route->configuration.timeout;
     request.deadline
--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -53,7 +53,7 @@
 {
 public:
     explicit HostRouteCall(HostRouteRequest &request)
-        : request_(request), route_(request.route->configuration), service_(*request.service),
+        : request_(request), route_(request.route->configuration),
           runtime_(*request.service->runtime),
           group_(std::make_shared<AttemptGroup>(request.worker.loop))
     {
@@ -69,6 +69,7 @@
 
     // Placement.
     TargetPtr findTarget(Yield yield);
+    void refreshTargets();
     void waitUntil(TimePoint until, Yield yield);
 
     // Attempts.
@@ -93,7 +94,6 @@
 
     HostRouteRequest &request_;
     const HostRoute &route_;
-    const ActiveService &service_;
     ServiceRuntime &runtime_;
     std::shared_ptr<AttemptGroup> group_;
     std::vector<std::string> tried_;
@@ -115,23 +115,33 @@
     group_->signal.async_wait(yield[ignored]);
 }
 
+// A request may last longer than a target that leaves keeps serving.
+void HostRouteCall::refreshTargets()
+{
+    auto current = request_.currentService();
+    if (current) {
+        request_.service = std::move(current);
+    }
+}
+
 TargetPtr HostRouteCall::findTarget(Yield yield)
 {
     const TimePoint objectiveBound = Clock::now() + route_.latencyObjective / placementWaitDivisor;
     const TimePoint until = std::min(objectiveBound, request_.deadline - minTimeLeft);
     while (!group_->callerDisconnected) {
+        refreshTargets();
         const bool lastTry = Clock::now() + placementRetryInterval >= until;
         const AcquiredTarget acquired = acquireBestTarget(request_, tried_, lastTry, yield);
         expectedSlowdown_ = acquired.slowdown;
         if (acquired.target && group_->callerDisconnected) {
-            releaseTarget(service_, *acquired.target);
+            releaseTarget(*request_.service, *acquired.target);
             return nullptr;
         }
         if (acquired.target) {
             return acquired.target;
         }
         const TimePoint now = Clock::now();
-        if (usableTargetCount(service_, now) <= tried_.size()) {
+        if (usableTargetCount(*request_.service, now) <= tried_.size()) {
             refusalReason_ = RefusalReason::noTarget;
             return nullptr;
         }
@@ -323,16 +333,17 @@
     if (!isStuck(*currentTarget)) {
         return;
     }
+    refreshTargets();
     const AcquiredTarget hedge = acquireHedgeTarget(request_, tried_, yield);
     if (!hedge.target) {
         return;
     }
     if (!anyRunning() || group_->callerDisconnected) {
-        releaseTarget(service_, *hedge.target);
+        releaseTarget(*request_.service, *hedge.target);
         return;
     }
     if (!runtime_.retryBudget.tryWithdraw()) {
-        releaseTarget(service_, *hedge.target);
+        releaseTarget(*request_.service, *hedge.target);
         return;
     }
     expectedSlowdown_ = hedge.slowdown;
@@ -370,9 +381,9 @@
     logEvent(
         ran ? Event::requestFailed : Event::requestRefused, LogLevel::info,
         "request={} route={} service={} version={} reason={} run={} target={} sendings={} ms={}",
-        request_.requestId, route_.name, service_.configuration.name, request_.version.number,
-        refusalReasonName(reason), ran ? "unknown" : "no", lastTarget(), attemptsStarted_,
-        static_cast<int>(toMilliseconds(Clock::now() - request_.arrival)));
+        request_.requestId, route_.name, request_.service->configuration.name,
+        request_.version.number, refusalReasonName(reason), ran ? "unknown" : "no", lastTarget(),
+        attemptsStarted_, static_cast<int>(toMilliseconds(Clock::now() - request_.arrival)));
     HttpResponse response = refusal(reason, ran ? RunOutcome::unknown : RunOutcome::notRun);
     if (!ran && response.count(http::field::retry_after) > 0) {
         const auto pause = retryAfterDelay(route_.latencyObjective, request_.worker.random());
--- a/src/coordination/entry/HostRouteCall.h
+++ b/src/coordination/entry/HostRouteCall.h
@@ -20,6 +20,8 @@
     const Dialect &dialect;
     ActiveRoutePtr route;
     std::shared_ptr<const ActiveService> service;
+    /// The present version of `service`, whose targets may have changed; null when it is gone.
+    std::function<std::shared_ptr<const ActiveService>()> currentService;
     ConfigurationVersion version; ///< of the configuration that the route comes from
     TimePoint arrival;
     TimePoint deadline; ///< the earlier of the caller's and the route's
--- a/src/coordination/entry/RoutingTable.cpp
+++ b/src/coordination/entry/RoutingTable.cpp
@@ -69,6 +69,14 @@
     return nullptr;
 }
 
+std::shared_ptr<const ActiveService> RoutingTable::findService(const std::string &name) const
+{
+    const auto found = std::find_if(services.begin(), services.end(), [&name](const auto &service) {
+        return service->configuration.name == name;
+    });
+    return found == services.end() ? nullptr : *found;
+}
+
 RouteMatch RoutingTable::match(const std::string &method, const std::string &path) const
 {
     RouteMatch best;
--- a/src/coordination/entry/RoutingTable.h
+++ b/src/coordination/entry/RoutingTable.h
@@ -57,6 +57,9 @@
         return services[route.services[route.nextDestination()]];
     }
 
+    /// Null when there is no such service.
+    std::shared_ptr<const ActiveService> findService(const std::string &name) const;
+
     /// The route of \p host with the longest prefix that matches \p path; null when there is none.
     ActiveRoutePtr matchHost(std::string_view host, std::string_view path) const;
 };
--- a/test/processes/test_platform.py
+++ b/test/processes/test_platform.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import socket
+import threading
 import unittest
 
 from platform_fleet import BookingCaller, PlatformFleet, document
@@ -120,6 +121,32 @@
             self.assertEqual(self.fleet.request(i % 2, "/lookup/x")[0], 200)
         self.assertEqual(self.fleet.standin_report()["targets"]["catalogue-0"]["served"], served)
 
+    def test_a_retry_reaches_no_target_that_left_meanwhile(self):
+        names = [f"catalogue-{i}" for i in range(4)]
+        callers = [threading.Thread(target=self.fleet.request, args=(0, "/lookup/x?work=1500000"))
+                   for _ in range(8)]
+        for caller in callers:
+            caller.start()
+        wait_until(lambda: self.in_flight(names) >= 6, 10, "the requests to reach targets")
+        for name in names[1:]:
+            self.assertEqual(
+                self.fleet.call(self.fleet.admin_address, "GET", "/drain/" + name)[0], 200)
+        busy = self.in_flight(names[1:])
+        served = self.served(names[1:])
+        # Half of the responses, and of those to load probes, are cut: retries find a target.
+        self.fleet.change_behaviour("catalogue", truncateShare=0.5)
+        for caller in callers:
+            caller.join(20)
+        self.assertEqual(self.served(names[1:]), served + busy)
+
+    def in_flight(self, names):
+        targets = self.fleet.standin_report()["targets"]
+        return sum(targets[name]["inFlight"] for name in names)
+
+    def served(self, names):
+        targets = self.fleet.standin_report()["targets"]
+        return sum(targets[name]["served"] for name in names)
+
     def test_a_planned_stop_breaks_no_request(self):
         self.fleet.change_behaviour("orders", meanWorkMs=200)
         callers = [BookingCaller(self.fleet, 0) for _ in range(4)]
