--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,111 +1,117 @@
-"""A few uploads within MaxBodyBytes at one entry take more memory than its machine has."""
+"""A bound that is a fraction: no entry starts any more."""
 
-import http.client
 import os
+import signal
+import subprocess
 import sys
 import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 from backend import Backends
-from fleet import CannotRun, Fleet, MemoryLimit, Record, manifest
+from fleet import CannotRun, Fleet, Record, manifest
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "hulo84.example"
-MEMORY_MB = {"control": 256, "entry": 650}  # the site's core and smallest front machines
-MAX_BODY = 67108864  # MaxBodyBytes of the manifest in PROTOCOL.md
-UPLOADS = 8
-UPLOAD_BYTES = MAX_BODY if TROUBLE else 360_000  # or the largest that the site file has
-KEPT = 12
-WORK_S = 1.5
+SLACK = 62  # BudgetSlack of the site
+NEW_SLACK = 42.5 if TROUBLE else 42
+GRACE_S = 6.0
+RESTART_DELAY_S = 0.5
+WATCH_S = 18.0  # longer than Recover (15 s)
 
 
-class Kept(threading.Thread):
-    """A requester with a kept connection: one request, then a second one on it."""
+class Platform(threading.Thread):
+    """Starts a process again after a short delay when it has ended, with the present settings."""
 
-    def __init__(self, fleet, number):
+    def __init__(self, fleet, record):
         super().__init__(daemon=True)
         self.fleet = fleet
-        ip, port = fleet.entries[0].listen["Front"].split(":")
-        self.connection = http.client.HTTPConnection(ip, int(port), timeout=10)
-        self.ids = [f"{number:08x}0000000{k}" for k in (1, 2)]
-        self.status = [0, 0]
-
-    def send(self, k):
-        self.status[k] = self.fleet.request(0, "POST", "/book/2f", HOST, self.ids[k], b"quote",
-                                            deadline_ms=5000, connection=self.connection)[0]
+        self.record = record
+        self.planned = set()
+        self.ends = {program.name: 0 for program in fleet.entries}
+        self.start()
 
     def run(self):
-        self.send(1)
+        while not self.fleet.closed:
+            for program in self.fleet.entries:
+                if program.runs() or program.name in self.planned:
+                    continue
+                self.ends[program.name] += 1
+                lines = program.log_text().strip().splitlines()
+                self.record.write(f"platform: {program.name} ended by itself with code "
+                                  f"{program.process.returncode}: "
+                                  + lines[-1].split(": ", 1)[-1][:110])
+                time.sleep(RESTART_DELAY_S)
+                if not self.fleet.closed:
+                    program.start()
+            time.sleep(0.02)
 
 
 def main():
     folder = os.path.dirname(os.path.abspath(__file__))
     record = Record(os.path.join(folder, "record.txt"))
-    fleet = Fleet(record, controls=3, entries=1)
+    fleet = Fleet(record, controls=3, entries=3)
+    fleet.bounds = dict(fleet.bounds, BudgetSlack=SLACK)
     try:
         return play(fleet, record)
     finally:
         fleet.stop()
 
 
-def document():
-    return manifest(1, [(HOST, "r-book", "/book/", "unsafe", "dispatch", 5000, 2),
-                        (HOST, "r-draw", "/draw/", "upload", "calibrate", 5000, 2)],
-                    ["dispatch", "calibrate"])
+def served(fleet, first_id, count):
+    """How many of `count` requests are answered with success, spread over the entries."""
+    good = 0
+    for number in range(count):
+        ident = f"{first_id + number:016x}"
+        status = fleet.request(number % len(fleet.entries), "GET", "/lepu270/2f", HOST, ident,
+                               deadline_ms=1500, timeout=2)[0]
+        good += 1 if status == 200 else 0
+        time.sleep(0.02)
+    return good
 
 
 def play(fleet, record):
     backends = Backends(fleet)
-    for number in range(8):
-        backends.add("dispatch", f"i-d15{number}", slots=4, work_s=0.05)
     for number in range(6):
-        backends.add("calibrate", f"i-ca1{number}", slots=4, work_s=0.1)
+        backends.add("ledger", f"i-7f3a91c{number}", slots=4, work_s=0.02)
     for program in fleet.controls + fleet.entries:
         program.start(first=True)
-    platform = MemoryLimit(fleet, MEMORY_MB)
+    platform = Platform(fleet, record)
     backends.begin()
-    if not fleet.put(document()):
+    if not fleet.put(manifest(1, [(HOST, "r-lookup", "/lepu270/", "safe", "ledger", 1500, 2)],
+                              ["ledger"])):
         raise CannotRun("the manifest was not acknowledged")
-    time.sleep(5.0)  # longer than StableWindow: the entry is in touch
-    callers = [Kept(fleet, number) for number in range(KEPT)]
-    for caller in callers:
-        caller.send(0)
-    if any(caller.status[0] != 200 for caller in callers) or platform.kills:
-        raise CannotRun("the first requests were not served")
-    record.write(f"{KEPT} requesters have had an answer on a connection that they keep")
-    for backend in backends.list:
-        backend.work_s = WORK_S if backend.service == "dispatch" else backend.work_s
-    for caller in callers:
-        caller.start()
-    time.sleep(0.2)
-    record.write(f"{UPLOADS} uploads of {UPLOAD_BYTES} bytes are sent at once")
-    body = b"z" * UPLOAD_BYTES
-    results = []
-
-    def upload(number):
-        results.append(fleet.request(0, "POST", f"/draw/{number}", HOST, f"{number:016x}", body,
-                                     deadline_ms=5000, timeout=10)[0])
-
-    threads = [threading.Thread(target=upload, args=(number,)) for number in range(UPLOADS)]
-    for thread in threads:
-        thread.start()
-    for thread in threads + callers:
-        thread.join()
-    record.write(f"uploads answered: {sorted(results)}")
-    ran = {ident for backend in backends.list for _, ident, _ in backend.runs}
-    lost = 0
-    for caller in callers:
-        passed_on = caller.ids[1] in ran
-        if passed_on and caller.status[1] == 0:
-            lost += 1
-            record.write(f"request {caller.ids[1]} was run by a backend; its connection ended "
-                         "without an answer")
-    peak = fleet.entries[0].memory_mb()[0]
-    record.write(f"{lost} of {KEPT} requests on kept connections lost; the platform killed the "
-                 f"entry {len(platform.kills)} times for memory; memory now {peak} MB")
-    record.write("LOST broken" if lost > 3 else "LOST held")
-    return 1 if lost > 3 else 0
+    time.sleep(4.0)
+    before = served(fleet, 1, 60)
+    record.write(f"{before} of 60 requests served with BudgetSlack={SLACK}")
+    if before < 55 or any(platform.ends.values()):
+        raise CannotRun("the fleet didn't serve before the settings changed")
+
+    fleet.bounds = dict(fleet.bounds, BudgetSlack=NEW_SLACK)
+    for program in fleet.entries:
+        program.write_settings()
+        program.send(signal.SIGHUP)
+    record.write(f"platform: the settings of the entries now have BudgetSlack={NEW_SLACK}; SIGHUP")
+    time.sleep(1.0)
+    for program in fleet.entries:
+        platform.planned.add(program.name)
+        program.send(signal.SIGTERM)
+        try:
+            program.process.wait(GRACE_S)
+        except subprocess.TimeoutExpired:
+            program.kill()
+        program.start()
+        record.write(f"platform: planned restart of {program.name}")
+        time.sleep(0.5)
+        platform.planned.discard(program.name)
+    time.sleep(WATCH_S)
+    after = served(fleet, 1000, 60)
+    record.write(f"{after} of 60 requests served after the planned restarts")
+    often = [name for name, ends in platform.ends.items() if ends >= 3]
+    record.write(f"ends by themselves: {platform.ends}; machines in use: 6")
+    broken = len(often) >= 2 or after == 0
+    record.write("Fault" if broken else "no Fault")
+    return 1 if broken else 0
 
 
 if __name__ == "__main__":
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -79,14 +79,12 @@
             self.listen = {"Front": f"{self.ip}:{ports[0]}", "Ready": f"{self.ip}:{ports[1]}"}
         self.internal_port = ports[2]
         self.process = None
-        self.ended_itself = 0
-        self.over_memory = 0
 
     @property
     def address(self):
         return self.listen.get("Control") or self.listen["Front"]
 
-    def start(self, first=False):
+    def write_settings(self, first=False):
         fleet = self.fleet
         zone = f"zone-{'abc'[self.index % 3]}"
         fields = {
@@ -95,11 +93,16 @@
             "SeedNodes": [program.address for program in fleet.controls[:3]],
             "DataDir": os.path.join(fleet.folder, self.name + ".data"),
             "ListenAddresses": self.listen, "FaultTolerance": {"Machines": 1},
-            "Bounds": {"RetryBudgetRatio": 0.2, "BudgetSlack": 64, "Grace": "6s"},
+            "Bounds": fleet.bounds,
         }
         settings = os.path.join(fleet.folder, self.name + ".boot")
         with open(settings, "w") as file:
             file.write(render(self.kind + ".json", fields))
+        return settings
+
+    def start(self, first=False):
+        settings = self.write_settings(first)
+        fleet = self.fleet
         log = open(os.path.join(fleet.folder, self.name + ".log"), "a")
         binary = os.path.join(fleet.programs, "kumquat-" + self.kind)
         self.process = subprocess.Popen([binary, "--settings", settings], cwd=ROOT, stdout=log,
@@ -142,6 +145,7 @@
                 raise CannotRun(name + " is not built; build as deploy/system.toml says")
         self.folder = tempfile.mkdtemp(prefix="kumquat-review-")
         self.net = random.randrange(30, 250)
+        self.bounds = {"RetryBudgetRatio": 0.2, "BudgetSlack": 64, "Grace": "6s"}
         self.controls = []
         for i in range(controls):
             self.controls.append(Program(self, "control", i))
