Documents that a strict reader refuses are refused; valid ones no longer are

Cause: validity was decided by jsoncpp in lenient mode, on the text as it came. It takes a byte order mark, comments, trailing commas, a NUL behind the value, bytes that are no UTF-8 (overlong, surrogates, above U+10FFFF, truncated), raw control characters, lone surrogate escapes, and the numbers 01, 1., +1 and -.

Change: common/JsonText decides on the bytes, before the library reads them, for documents, announcements, settings and files of folders; comments only where operators write files. Errors name line, byte and remedy, and are cut. Version 0 is stored before it is confirmed. What an earlier version confirmed is read as that version read it (DocumentOrigin::confirmed), and a change of files is checked before it is proposed and not when it is applied, so that members of two versions apply a log alike.

The C++ tests of this commit were not run on the code before (they use its new functions).

--- a/include/kumquat/Configuration.h
+++ b/include/kumquat/Configuration.h
@@ -111,7 +111,8 @@
     std::string content;
 };
 
-/// Merges the files in the order of their names and validates the result.
+/// Merges the files in the order of their names and validates the result. Their bytes have been
+/// checked before they were confirmed, by checkWrites().
 /// Fails with ErrorKind::badConfiguration: on the first file that is not a JSON object, else with
 /// all problems of the merged configuration.
 absl::StatusOr<Configuration> parseConfiguration(std::vector<ConfigurationFile> files);
--- a/src/common/JsonReader.cpp
+++ b/src/common/JsonReader.cpp
@@ -11,12 +11,20 @@
 
 const Json::Value nullValue;
 
+/// The library counts a value inside the innermost list too.
+constexpr Json::UInt stackLimit = maxJsonDepth + 1;
+constexpr std::size_t maxShownBytes = 200; ///< of a value, a key or the library's message
+constexpr std::size_t maxShownProblems = 50;
+
 } // namespace
 
 void JsonProblems::add(const std::string &path, const std::string &what, const std::string &remedy)
 {
-    lines_.push_back(
-        absl::StrCat(file_, ": ", path.empty() ? "/" : path, ": ", what, " (", remedy, ")"));
+    if (++count_ > maxShownProblems) {
+        return;
+    }
+    lines_.push_back(absl::StrCat(file_, ": ", path.empty() ? "/" : cutText(path, maxShownBytes),
+                                  ": ", cutText(what, maxShownBytes), " (", remedy, ")"));
 }
 
 absl::Status JsonProblems::status(ErrorKind kind) const
@@ -24,17 +32,28 @@
     if (lines_.empty()) {
         return absl::OkStatus();
     }
-    return makeError(kind, absl::StrJoin(lines_, "\n"), "correct each line above and check again");
+    std::string list = absl::StrJoin(lines_, "\n");
+    if (count_ > lines_.size()) {
+        absl::StrAppend(&list, "\nand ", count_ - lines_.size(), " more");
+    }
+    return makeError(kind, list, "correct each line above and check again");
 }
 
 absl::StatusOr<Json::Value> parseJson(const std::string &file, const std::string &text,
-                                      ErrorKind kind)
+                                      ErrorKind kind, JsonSyntax syntax)
 {
+    const auto fault = findJsonFault(text, syntax);
+    if (fault) {
+        return makeError(
+            kind,
+            absl::StrCat(file, ": line ", fault->line, ", byte ", fault->byte, ": ", fault->what),
+            fault->remedy);
+    }
     Json::CharReaderBuilder builder;
-    builder["allowComments"] = true;
+    builder["allowComments"] = syntax != JsonSyntax::strict;
     builder["rejectDupKeys"] = true;
     builder["failIfExtra"] = true;
-    builder["stackLimit"] = 64;
+    builder["stackLimit"] = stackLimit;
     const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     Json::Value value;
     std::string problem;
@@ -45,8 +64,8 @@
         problem = exception.what();
     }
     if (!parsed) {
-        return makeError(kind, file + ": not JSON: " + problem,
-                         "write one JSON value; comments are allowed, repeated keys are not");
+        return makeError(kind, file + ": not JSON: " + cutText(problem, maxShownBytes),
+                         "write one JSON value, and each key of an object once");
     }
     return value;
 }
@@ -59,6 +78,11 @@
     return Json::writeString(builder, value);
 }
 
+std::string shownJson(const Json::Value &value)
+{
+    return cutText(writeJson(value), maxShownBytes);
+}
+
 JsonObject::JsonObject(const Json::Value &value, std::string path, JsonProblems &problems)
     : value_(value.isObject() ? value : nullValue), path_(std::move(path)), problems_(problems)
 {
@@ -86,7 +110,7 @@
 {
     const Json::Value &value = required(key);
     if (!value.isNull() && (!value.isString() || value.asString().empty())) {
-        problems_.add(pathOf(key), "is " + writeJson(value), "write a non-empty string");
+        problems_.add(pathOf(key), "is " + shownJson(value), "write a non-empty string");
     }
     return value.isString() ? value.asString() : "";
 }
@@ -102,7 +126,7 @@
     if (value.isInt64() && value.asInt64() >= low && value.asInt64() <= high) {
         return value.asInt64();
     }
-    problems_.add(pathOf(key), "is " + writeJson(value),
+    problems_.add(pathOf(key), "is " + shownJson(value),
                   absl::StrCat("write a whole number from ", low, " to ", high));
     return low;
 }
@@ -127,7 +151,7 @@
         return fallback;
     }
     if (!value.isBool()) {
-        problems_.add(pathOf(key), "is " + writeJson(value), "write true or false");
+        problems_.add(pathOf(key), "is " + shownJson(value), "write true or false");
         return fallback;
     }
     return value.asBool();
@@ -142,7 +166,7 @@
     if (value.isNumeric() && value.asDouble() >= low && value.asDouble() <= high) {
         return value.asDouble();
     }
-    problems_.add(pathOf(key), "is " + writeJson(value),
+    problems_.add(pathOf(key), "is " + shownJson(value),
                   absl::StrCat("write a number from ", low, " to ", high));
     return fallback;
 }
@@ -162,7 +186,7 @@
     }
     const auto read = value.isString() ? parseDuration(value.asString()) : std::nullopt;
     if (!read || *read < low || *read > high) {
-        problems_.add(pathOf(key), "is " + writeJson(value),
+        problems_.add(pathOf(key), "is " + shownJson(value),
                       "write a duration from " + std::to_string(low.count()) + "ms to "
                           + std::to_string(high.count()) + "ms, such as 1500ms or 2.5s");
         return fallback;
@@ -178,14 +202,14 @@
         return result;
     }
     if (!value.isArray()) {
-        problems_.add(pathOf(key), "is " + writeJson(value), "write a list of strings");
+        problems_.add(pathOf(key), "is " + shownJson(value), "write a list of strings");
         return result;
     }
     for (const Json::Value &item : value) {
         if (item.isString() && !item.asString().empty()) {
             result.push_back(item.asString());
         } else {
-            problems_.add(pathOf(key), "holds " + writeJson(item),
+            problems_.add(pathOf(key), "holds " + shownJson(item),
                           "write only non-empty strings in it");
         }
     }
--- a/src/common/JsonReader.h
+++ b/src/common/JsonReader.h
@@ -1,8 +1,9 @@
 #pragma once
 /// \file
-/// Reads JSON with comments into typed values and collects all problems instead of stopping at one.
+/// Reads JSON into typed values and collects all problems instead of stopping at one.
 /// A problem names the file, the path inside the JSON, the value seen and the remedy.
 
+#include "common/JsonText.h"
 #include "common/Time.h"
 #include "kumquat/Error.h"
 
@@ -22,20 +23,24 @@
     void add(const std::string &path, const std::string &what, const std::string &remedy);
     bool empty() const { return lines_.empty(); }
 
-    /// OK when there is no problem, else one error of \p kind that lists them all.
+    /// OK when there is no problem, else one error of \p kind that lists them, up to a limit.
     absl::Status status(ErrorKind kind) const;
 
 private:
     std::string file_;
     std::vector<std::string> lines_;
+    std::size_t count_ = 0; ///< of all problems, also of those that are not listed
 };
 
-/// Parses JSON; comments are allowed, duplicate keys and trailing text are not.
+/// Parses one JSON value without repeated keys; fails with \p kind and names the place.
 absl::StatusOr<Json::Value> parseJson(const std::string &file, const std::string &text,
-                                      ErrorKind kind);
+                                      ErrorKind kind, JsonSyntax syntax = JsonSyntax::strict);
 
 std::string writeJson(const Json::Value &value, bool indented = false);
 
+/// \p value for a message: written as JSON and cut.
+std::string shownJson(const Json::Value &value);
+
 /// Reads the members of one JSON object. Without a fallback a member is required; a required member
 /// that is missing and any invalid member are added to the problems.
 class JsonObject
--- a/src/coordination/control/ControlDocuments.cpp
+++ b/src/coordination/control/ControlDocuments.cpp
@@ -186,7 +186,7 @@
     if (request.method() == http::verb::get) {
         return node_->raft().isLeader() ? readDocument(yield) : forwardToLeader(request, yield);
     }
-    const auto document = dialect_.parseDocument(request.body());
+    const auto document = dialect_.parseDocument(request.body(), DocumentOrigin::received);
     if (!document.ok()) {
         logEvent(Event::documentRejected, LogLevel::warning, "{}",
                  std::string(document.status().message()));
@@ -217,7 +217,8 @@
 
 HttpResponse ControlServer::putDocument(std::uint64_t version, const std::string &text, Yield yield)
 {
-    if (version <= node_->state().configuration().documentVersion()) {
+    const ReplicatedConfiguration &configuration = node_->state().configuration();
+    if (configuration.hasDocument() && version <= configuration.documentVersion()) {
         return textResponse(http::status::ok, "{}");
     }
     ControlCommand command;
@@ -234,7 +235,7 @@
 
 HttpResponse ControlServer::readDocument(Yield yield)
 {
-    if (!confirmRead(yield) || node_->state().configuration().documentVersion() == 0) {
+    if (!confirmRead(yield) || !node_->state().configuration().hasDocument()) {
         return unavailableResponse("this member cannot confirm which version is the latest");
     }
     return textResponse(http::status::ok, node_->state().configuration().document());
--- a/src/coordination/control/ControlOperations.cpp
+++ b/src/coordination/control/ControlOperations.cpp
@@ -34,7 +34,8 @@
         write.reportUnknownMembers();
     }
     object.reportUnknownMembers();
-    const absl::Status status = problems.status(ErrorKind::badMessage);
+    absl::Status status = problems.status(ErrorKind::badMessage);
+    status.Update(checkWrites(change.writes));
     if (!status.ok()) {
         throw RpcError { std::string(status.message()) };
     }
--- a/src/coordination/entry/EntryConfiguration.cpp
+++ b/src/coordination/entry/EntryConfiguration.cpp
@@ -26,7 +26,7 @@
     if (files.size() != 1 || files.front().name != documentFileName) {
         return parseConfiguration(std::move(files));
     }
-    auto document = dialect.parseDocument(files.front().content);
+    auto document = dialect.parseDocument(files.front().content, DocumentOrigin::confirmed);
     if (!document.ok()) {
         return document.status();
     }
--- a/src/protocol/Dialect.cpp
+++ b/src/protocol/Dialect.cpp
@@ -13,7 +13,7 @@
         kumquat.headers.deadline = wire::deadline;
         kumquat.provesNotRun = isShed;
         kumquat.loadReport = readLoadReport;
-        kumquat.parseDocument = [](const std::string &) {
+        kumquat.parseDocument = [](const std::string &, DocumentOrigin) {
             return makeError(ErrorKind::badConfiguration, "this dialect has no whole documents",
                              "apply a folder with kumquatctl");
         };
--- a/src/protocol/Dialect.h
+++ b/src/protocol/Dialect.h
@@ -19,6 +19,12 @@
     std::string responseStamp; ///< present only in responses that a target produced
 };
 
+/// Where the text of a document comes from.
+enum class DocumentOrigin {
+    received, ///< from an operator: it is refused unless it is valid
+    confirmed, ///< from the group, perhaps confirmed by an earlier version that checked less
+};
+
 struct Dialect
 {
     HeaderNames headers;
@@ -30,7 +36,9 @@
     std::function<std::optional<LoadReport>(const http::fields &)> loadReport;
 
     /// Reads and checks a whole configuration; fails with ErrorKind::badConfiguration.
-    std::function<absl::StatusOr<ConfigurationDocument>(const std::string &text)> parseDocument;
+    std::function<absl::StatusOr<ConfigurationDocument>(const std::string &text,
+                                                        DocumentOrigin origin)>
+        parseDocument;
 
     /// Reads a target's announcement of itself; fails with ErrorKind::badMessage.
     std::function<absl::StatusOr<TargetRecord>(const std::string &name, const std::string &body)>
--- a/src/protocol/Settings.cpp
+++ b/src/protocol/Settings.cpp
@@ -134,7 +134,7 @@
 
 absl::StatusOr<EntrySettings> parseEntrySettings(const std::string &file, const std::string &text)
 {
-    const auto json = parseJson(file, text, ErrorKind::badSettings);
+    const auto json = parseJson(file, text, ErrorKind::badSettings, JsonSyntax::withComments);
     if (!json.ok()) {
         return json.status();
     }
@@ -172,7 +172,7 @@
 absl::StatusOr<ControlSettings> parseControlSettings(const std::string &file,
                                                      const std::string &text)
 {
-    const auto json = parseJson(file, text, ErrorKind::badSettings);
+    const auto json = parseJson(file, text, ErrorKind::badSettings, JsonSyntax::withComments);
     if (!json.ok()) {
         return json.status();
     }
--- a/src/state/ReplicatedConfiguration.cpp
+++ b/src/state/ReplicatedConfiguration.cpp
@@ -1,5 +1,7 @@
 #include "state/ReplicatedConfiguration.h"
 
+#include "common/JsonReader.h"
+
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 
@@ -40,6 +42,24 @@
     return parseConfiguration(std::move(plain)).status();
 }
 
+// Members that run different versions must apply a change alike, so the bytes are not checked when
+// it is applied, and files that are in force already are not checked again.
+absl::Status checkWrites(const std::vector<FileWrite> &writes)
+{
+    for (const FileWrite &file : writes) {
+        if (file.name == documentFileName) {
+            return makeError(ErrorKind::badConfiguration, file.name + " is not a file of a folder",
+                             "send a whole document to the path for documents");
+        }
+        const auto value = parseJson(file.name, file.content, ErrorKind::badConfiguration,
+                                     JsonSyntax::withComments);
+        if (!value.ok()) {
+            return value.status();
+        }
+    }
+    return absl::OkStatus();
+}
+
 const ChangeResult *ReplicatedConfiguration::find(const std::string &id) const
 {
     const auto found = results_.find(id);
@@ -64,7 +84,7 @@
 
 ChangeResult ReplicatedConfiguration::applyDocument(std::uint64_t version, const std::string &text)
 {
-    if (version > documentVersion_) {
+    if (!hasDocument() || version > documentVersion_) {
         files_ = { { documentFileName, text } };
         documentVersion_ = version;
         ++number_;
@@ -74,7 +94,7 @@
 
 std::string ReplicatedConfiguration::document() const
 {
-    return documentVersion_ == 0 ? "" : files_.front().content;
+    return hasDocument() ? files_.front().content : "";
 }
 
 ChangeResult ReplicatedConfiguration::applyNew(const ConfigurationChange &change)
@@ -84,7 +104,7 @@
                  absl::StrCat("version ", number_, " is in force, the change is based on ",
                               change.base, "; remedy: review what changed, then apply again") };
     }
-    if (documentVersion_ > 0) {
+    if (hasDocument()) {
         return { ChangeStatus::refused, number_,
                  absl::StrCat("document version ", documentVersion_,
                               " is in force; remedy: send a document with a higher version") };
--- a/src/state/ReplicatedConfiguration.h
+++ b/src/state/ReplicatedConfiguration.h
@@ -28,6 +28,9 @@
     MSGPACK_DEFINE(id, base, writes, removals)
 };
 
+/// The name of the file that holds a whole document; files of a folder end in .json instead.
+constexpr char documentFileName[] = "@document";
+
 enum class ChangeStatus { accepted, conflict, refused };
 
 struct ChangeResult
@@ -54,6 +57,7 @@
     /// in force; otherwise changes nothing. The text must have been validated.
     ChangeResult applyDocument(std::uint64_t version, const std::string &text);
 
+    bool hasDocument() const { return !files_.empty() && files_.front().name == documentFileName; }
     std::uint64_t documentVersion() const { return documentVersion_; }
     /// The text of the document in force; empty if there is none.
     std::string document() const;
@@ -73,15 +77,16 @@
     std::uint64_t documentVersion_ = 0;
 };
 
-/// The name of the file that holds a whole document; files of a folder end in .json instead.
-constexpr char documentFileName[] = "@document";
-
 /// \p files with \p change applied, sorted by name.
 std::vector<FileWrite> filesAfter(std::vector<FileWrite> files, const ConfigurationChange &change);
 
 /// Checks the merged configuration; fails with ErrorKind::badConfiguration.
 absl::Status checkFiles(const std::vector<FileWrite> &files);
 
+/// Checks the bytes of the files that a change writes, before it is proposed; fails with
+/// ErrorKind::badConfiguration.
+absl::Status checkWrites(const std::vector<FileWrite> &writes);
+
 } // namespace kumquat
 
 MSGPACK_ADD_ENUM(kumquat::ChangeStatus);
--- a/test/correctness/SettingsChecks.cpp
+++ b/test/correctness/SettingsChecks.cpp
@@ -60,6 +60,16 @@
                  "/heartbeat");
 }
 
+TEST(SettingsChecks, settingsMayHaveCommentsAndNothingElseThatIsNotJson)
+{
+    CHECK_TRUE(parseEntrySettings("f", "// comment\n" + entryWith("/* more */")).ok());
+    for (const std::string &text :
+         { entryWith(","), entryWith("") + "}", "\xef\xbb\xbf" + entryWith(""),
+           entryWith(R"(, "threads": 01)"), "// \xff\n" + entryWith("") }) {
+        checkRefused(parseEntrySettings("f", text).status(), "line ");
+    }
+}
+
 TEST(SettingsChecks, theMetricsAddressIsChecked)
 {
     checkRefused(parseEntrySettings("f", entryWith(R"(, "metricsAddress": "here")")).status(),
