One odd announcement is refused alone

Seen by callers: a heartbeat with 2,147,483,647 slots was taken (200) and passed to every entry, and calls to its service then had no answer within 5 s (the number of slots bounds a loop of each placement). A start far in the future (born 2^63-1) was taken and outranks every later incarnation at its address. Also taken: a name of 2,000 bytes, a name or zone that is not UTF-8, the addresses 0.0.0.0, "127.0.0.1:+80", ": 80" and one with a NUL, 2^32 slots (as one), a WarmupLeft that overflows, and heartbeats whose Version or WarmupLeft is missing or of another type.

Cause: numbers were narrowed unchecked, and the address, the names and the members that the product reads loosely were not checked.

Change: checkTargetRecord() holds what every process can use; the readers of both dialects apply it, and so do members and entries to records in another member's feed and members to their saved target cache, which leave out a record that fails it, with event 306, and keep the others. A start after the year 9999 is none.

Ruled out, refused before too: ports 0, 65536 and hex, 2^63 slots, Sequence 2^64, numbers beyond a double, 100,000 brackets (jsoncpp's limit was caught). The C++ tests were not run on the code before.

--- a/include/kumquat/TargetRecord.h
+++ b/include/kumquat/TargetRecord.h
@@ -3,6 +3,7 @@
 /// Defines the record that a target announces and the order of two records of one target.
 /// Processes pass records on unchanged and keep the highest (incarnation, state, version).
 
+#include <absl/status/status.h>
 #include <chrono>
 #include <cstdint>
 #include <msgpack.hpp>
@@ -39,6 +40,10 @@
 /// higher version, so that a draining target stays draining in whatever order records arrive.
 bool supersedes(const TargetRecord &candidate, const TargetRecord &present);
 
+/// Checks that every process can use \p record: the lengths of its names, its address and the
+/// ranges of its numbers. Fails with ErrorKind::badMessage.
+absl::Status checkTargetRecord(const TargetRecord &record);
+
 } // namespace kumquat
 
 MSGPACK_ADD_ENUM(kumquat::TargetState);
--- a/src/coordination/control/TargetRegistry.cpp
+++ b/src/coordination/control/TargetRegistry.cpp
@@ -230,7 +230,7 @@
     const TimePoint now = Clock::now();
     bool changed = false;
     for (const FeedItem &item : response.items) {
-        changed = feed_.merge(item.record, now) || changed;
+        changed = mergeRecord(item.record, now) || changed;
     }
     for (const FeedRenewal &renewal : response.renewals) {
         feed_.renew(renewal, now);
@@ -277,8 +277,20 @@
     }
     const TimePoint now = Clock::now();
     for (const FeedItem &item : *items) {
-        (void)feed_.merge(item.record, now);
+        (void)mergeRecord(item.record, now);
     }
 }
 
+// Another member may run a version that checks less, and a file may be damaged.
+bool TargetRegistry::mergeRecord(const TargetRecord &record, TimePoint now)
+{
+    const absl::Status valid = checkTargetRecord(record);
+    if (!valid.ok()) {
+        logEvent(Event::announcementRejected, LogLevel::warning, "{}",
+                 std::string(valid.message()));
+        return false;
+    }
+    return feed_.merge(record, now);
+}
+
 } // namespace kumquat
--- a/src/coordination/control/TargetRegistry.h
+++ b/src/coordination/control/TargetRegistry.h
@@ -63,6 +63,7 @@
         TimePoint renewalsSentAt;
     };
 
+    bool mergeRecord(const TargetRecord &record, TimePoint now);
     HttpResponse applyRecord(const TargetRecord &record, Yield yield);
     bool waitForAcknowledgements(std::uint64_t cursor, Yield yield);
     bool majorityAcknowledged(std::uint64_t cursor) const;
--- a/src/coordination/entry/EntryFeed.cpp
+++ b/src/coordination/entry/EntryFeed.cpp
@@ -182,6 +182,12 @@
 bool EntryCoordinator::applyFeedItem(const std::string &member, const FeedItem &item)
 {
     const TargetRecord &record = item.record;
+    const absl::Status valid = checkTargetRecord(record);
+    if (!valid.ok()) {
+        logEvent(Event::announcementRejected, LogLevel::warning, "from={} {}", member,
+                 std::string(valid.message()));
+        return false;
+    }
     const bool changed = targets_.merge(record, Clock::now());
     if (changed) {
         const Event event = record.state == TargetState::gone ? Event::targetGone
--- a/src/protocol/Announcement.cpp
+++ b/src/protocol/Announcement.cpp
@@ -69,7 +69,10 @@
     checkLength(name, "/name", problems);
     checkLength(record.service, "/service", problems);
     checkLength(record.failureDomain, "/failureDomain", problems);
-    const absl::Status status = problems.status(ErrorKind::badMessage);
+    absl::Status status = problems.status(ErrorKind::badMessage);
+    if (status.ok()) {
+        status = checkTargetRecord(record);
+    }
     if (!status.ok()) {
         return status;
     }
--- a/test/processes/test_documents.py
+++ b/test/processes/test_documents.py
@@ -1,13 +1,16 @@
 """Process tests of what members accept, against a strict reader of JSON that shares no code with them."""
 
+import http.client
 import json
 import math
+import socket
 import unittest
 
 from platform_fleet import PlatformFleet, document
 from support import wait_until
 
 DOCUMENT_PATH = "/kumquat/v1/document"
+TARGETS_PATH = "/kumquat/v1/targets/"
 DEEPEST = 64  # lists and objects in each other
 
 
@@ -187,6 +190,55 @@
         except OSError:
             return None
 
+    # Announcements.
+
+    def announce(self, member, name, body, method=b"PUT"):
+        """Sends an announcement with any bytes as its name; returns the status, 0 when there is none."""
+        host, port = self.fleet.control_addresses[member].split(":")
+        with socket.create_connection((host, int(port)), 5) as connection:
+            connection.settimeout(5)
+            connection.sendall(method + b" " + TARGETS_PATH.encode() + name + b" HTTP/1.1\r\nHost: c\r\n"
+                               b"Content-Length: %d\r\n\r\n" % len(body) + body)
+            try:
+                answer = http.client.HTTPResponse(connection)
+                answer.begin()
+                return answer.status
+            except (OSError, http.client.HTTPException):
+                return 0
+
+    def heartbeat(self, **changes):
+        return json.dumps(dict({"Service": "catalogue", "Address": "127.0.0.1:9", "Zone": "zone-0",
+                                "Version": "v1", "Slots": 2, "State": "ready", "WarmupLeft": "0ms",
+                                "Sequence": 1, "born": 1788450321033}, **changes)).encode()
+
+    def known_targets(self, entry):
+        data = self.fleet.call(self.fleet.ready_addresses[entry], "GET", "/kumquat/v1/dump")[2]
+        return strict_json(data)["knownTargets"]
+
+    def test_one_odd_announcement_is_refused_alone_and_nobody_stops_following(self):
+        plain = self.heartbeat()
+        before = self.known_targets(0)
+        odd = [b"[" * 100_000, b'{"a":' * 100_000, plain[:-1], plain + b"x",
+               plain.replace(b'"zone-0"', b"[" * 100_000), plain.replace(b'"zone-0"', b'"\xff"'),
+               plain.replace(b'"zone-0"', b'"\\ud800"'), plain.replace(b'"Slots": 2', b'"Slots": 1e400')]
+        odd += [self.heartbeat(**change) for change in (
+            {"Address": "127.0.0.1:0"}, {"Address": "127.0.0.1:65536"}, {"Address": "127.0.0.1:99999999999"},
+            {"Address": "127.0.0.1:-1"}, {"Address": "127.0.0.1:0x50"}, {"Address": "x" * 10_000},
+            {"Slots": 2 ** 31 - 1}, {"Slots": 2 ** 32}, {"Slots": 2 ** 63}, {"Slots": {"a": []}},
+            {"Sequence": 2 ** 64}, {"born": 2 ** 63 - 1}, {"born": 10 ** 400}, {"State": {}},
+            {"WarmupLeft": "99999999999999999999ms"}, {"Service": None}, {"Zone": "z" * 10_000})]
+        for number, body in enumerate(odd):
+            self.assertEqual(self.announce(number % 3, b"i-odd%d" % number, body), 400, body[:200])
+        for name in (b"i-\xff", b"i" * 2_000, b""):
+            self.assertIn(self.announce(0, name, plain), (0, 400), name[:40])
+        for body in (b"[" * 100_000, b'{"born":-1}', b'{"born":1e400}', b"\xff"):
+            self.assertEqual(self.announce(1, b"i-odd", body, b"DELETE"), 400, body[:40])
+        self.assertEqual(self.announce(2, b"i-fresh", self.heartbeat(State="draining")), 200)
+        for entry in range(2):
+            wait_until(lambda e=entry: self.known_targets(e) == before + 1, 5, "the target at the entry")
+        self.assertTrue(self.fleet.all_entries_serve())
+        self.check_nothing_ended()
+
 
 if __name__ == "__main__":
     unittest.main()
