An operators' call that is nested deeply ends no member

Seen: POST /kumquat/v1/rpc with 100,000 opening brackets ended a member by signal 6. On a platform without a cluster key anybody who reaches the control port can send it.

Cause: the JSON-RPC library reads a message with a parser that throws when a value is nested too deeply, and nothing caught it on the thread for operators' calls.

Change: ControlRpc reads each message with the strict reader first, and turns what the library throws into an error response. kumquatctl checks its files before it sends them (a message cannot carry bytes that are not text; they were replaced silently), and an answer or a log line that it cannot read is an error and ends nothing.

--- a/daemons/Ctl.cpp
+++ b/daemons/Ctl.cpp
@@ -5,6 +5,7 @@
 #include "kumquat/Configuration.h"
 #include "kumquat/Settings.h"
 #include "protocol/Wire.h"
+#include "state/ReplicatedConfiguration.h"
 #include "transport/BlockingHttp.h"
 #include "transport/JsonRpcCall.h"
 
@@ -124,13 +125,43 @@
     std::size_t preferredMember_ = 0; ///< the member to ask first, modulo their number
 };
 
+/// The result of a call as JSON; fails when the call failed or its result cannot be read.
+absl::StatusOr<Json::Value> resultOf(const JsonRpcOutcome &outcome)
+{
+    if (!outcome.ok) {
+        return makeError(ErrorKind::unavailable, outcome.error, "see status of each member");
+    }
+    auto value = parseJson("answer", outcome.result, ErrorKind::badMessage);
+    if (value.ok() && !value->isObject()) {
+        return makeError(ErrorKind::badMessage, "the answer is not a JSON object",
+                         "run the same version on every instance");
+    }
+    return value;
+}
+
+/// The member \p key of an answer; 0 when it is no number.
+std::uint64_t numberIn(const Json::Value &answer, const char *key)
+{
+    const bool isNumber = answer.isObject() && answer[key].isUInt64();
+    return isNumber ? answer[key].asUInt64() : 0;
+}
+
+std::string textIn(const Json::Value &answer, const char *key)
+{
+    const bool isText = answer.isObject() && answer[key].isString();
+    return isText ? answer[key].asString() : "";
+}
+
 int printOutcome(const JsonRpcOutcome &outcome)
 {
     if (!outcome.ok) {
         return fail(outcome.error);
     }
-    std::cout << writeJson(*parseJson("answer", outcome.result, ErrorKind::badMessage), true)
-              << "\n";
+    const auto result = resultOf(outcome);
+    if (!result.ok()) {
+        return fail(std::string(result.status().message()));
+    }
+    std::cout << writeJson(*result, true) << "\n";
     return 0;
 }
 
@@ -148,10 +179,10 @@
     for (const Json::Value &present : current["files"]) {
         bool kept = false;
         for (const ConfigurationFile &file : files) {
-            kept = kept || file.name == present["name"].asString();
+            kept = kept || file.name == textIn(present, "name");
         }
         if (!kept) {
-            change["removals"].append(present["name"]);
+            change["removals"].append(textIn(present, "name"));
         }
     }
     return change;
@@ -165,14 +196,13 @@
         int behindCount = 0;
         int entryCount = 0;
         for (const std::string &member : controlMembers()) {
-            const JsonRpcOutcome status = client.callMember(member, "status", Json::objectValue);
-            if (!status.ok) {
+            const auto status = resultOf(client.callMember(member, "status", Json::objectValue));
+            if (!status.ok()) {
                 continue;
             }
-            const auto value = parseJson("status", status.result, ErrorKind::badMessage);
-            for (const Json::Value &entry : (*value)["entries"]) {
+            for (const Json::Value &entry : (*status)["entries"]) {
                 ++entryCount;
-                behindCount += entry["number"].asUInt64() < number ? 1 : 0;
+                behindCount += numberIn(entry, "number") < number ? 1 : 0;
             }
         }
         if (current.ok && entryCount > 0 && behindCount == 0 && entryCount >= FLAGS_wait_entries) {
@@ -185,17 +215,35 @@
     return fail("not in force on every entry yet; remedy: see status for entries that lag behind");
 }
 
+/// Reads the folder and checks the bytes of its files here: a message to the group cannot carry
+/// bytes that are not text.
+absl::StatusOr<std::vector<ConfigurationFile>> readCheckedFolder(const std::string &folder)
+{
+    auto files = readConfigurationFolder(folder);
+    if (!files.ok()) {
+        return files;
+    }
+    std::vector<FileWrite> writes;
+    for (const ConfigurationFile &file : *files) {
+        writes.push_back({ file.name, file.content });
+    }
+    const absl::Status checked = checkWrites(writes);
+    if (!checked.ok()) {
+        return checked;
+    }
+    return files;
+}
+
 int apply(ControlGroupClient &client, const std::string &folder)
 {
-    const auto files = readConfigurationFolder(folder);
+    const auto files = readCheckedFolder(folder);
     if (!files.ok()) {
         return fail(std::string(files.status().message()));
     }
-    const JsonRpcOutcome current = client.call("current", Json::objectValue);
-    if (!current.ok) {
-        return fail(current.error);
+    const auto present = resultOf(client.call("current", Json::objectValue));
+    if (!present.ok()) {
+        return fail(std::string(present.status().message()));
     }
-    const auto present = parseJson("current", current.result, ErrorKind::badMessage);
     Random random(randomSeed());
     Json::Value change = makeChange(*files, *present);
     change["id"] = FLAGS_id.empty() ? absl::StrCat(absl::Hex(random())) : FLAGS_id;
@@ -204,28 +252,28 @@
     if (printOutcome(outcome) != 0) {
         return 1;
     }
-    const auto result = parseJson("apply", outcome.result, ErrorKind::badMessage);
-    if ((*result)["verdict"] != "accepted") {
+    const auto result = resultOf(outcome);
+    if (textIn(*result, "verdict") != "accepted") {
         return 2;
     }
-    return FLAGS_wait ? waitUntilInForce(client, (*result)["number"].asUInt64()) : 0;
+    return FLAGS_wait ? waitUntilInForce(client, numberIn(*result, "number")) : 0;
 }
 
 int check(ControlGroupClient &client, const std::string &folder)
 {
-    const auto files = readConfigurationFolder(folder);
+    const auto files = readCheckedFolder(folder);
     const auto parsed
         = files.ok() ? parseConfiguration(*files) : absl::StatusOr<Configuration>(files.status());
     if (!parsed.ok()) {
         return fail(std::string(parsed.status().message()));
     }
     std::cout << "well-formed: " << parsed->services.size() << " services\n";
-    const JsonRpcOutcome current = client.call("current", Json::objectValue);
-    if (!current.ok) {
-        std::cout << "not compared with the version in force: " << current.error << "\n";
+    const auto present = resultOf(client.call("current", Json::objectValue));
+    if (!present.ok()) {
+        std::cout << "not compared with the version in force: " << present.status().message()
+                  << "\n";
         return 0;
     }
-    const auto present = parseJson("current", current.result, ErrorKind::badMessage);
     return printOutcome(client.call("check", makeChange(*files, *present)));
 }
 
@@ -233,11 +281,10 @@
 {
     std::uint64_t last = 0;
     while (true) {
-        const JsonRpcOutcome current = client.call("current", Json::objectValue);
-        const auto value = parseJson("current", current.result, ErrorKind::badMessage);
-        if (current.ok && value.ok() && (*value)["number"].asUInt64() != last) {
-            last = (*value)["number"].asUInt64();
-            std::cout << "version " << last << ", " << (*value)["files"].size() << " files"
+        const auto current = resultOf(client.call("current", Json::objectValue));
+        if (current.ok() && numberIn(*current, "number") != last) {
+            last = numberIn(*current, "number");
+            std::cout << "version " << last << ", " << (*current)["files"].size() << " files"
                       << std::endl;
         }
         std::this_thread::sleep_for(pollInterval);
--- a/src/common/Explanation.cpp
+++ b/src/common/Explanation.cpp
@@ -1,5 +1,6 @@
 #include "common/Explanation.h"
 
+#include "common/JsonReader.h"
 #include "kumquat/Event.h"
 
 #include <absl/strings/str_cat.h>
@@ -47,14 +48,11 @@
     if (start == std::string::npos) {
         return std::nullopt;
     }
-    Json::Value json;
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    const char *end = line.data() + line.size();
-    if (!reader->parse(line.data() + start, end, &json, nullptr) || !json.isObject()
-        || !json["event"].isInt()) {
+    const auto parsed = parseJson("log line", line.substr(start), ErrorKind::badMessage);
+    if (!parsed.ok() || !parsed->isObject() || !(*parsed)["event"].isInt()) {
         return std::nullopt;
     }
+    const Json::Value &json = *parsed;
     LogRecord record;
     record.event = json["event"].asInt();
     for (const std::string &name : json.getMemberNames()) {
--- a/src/coordination/control/ControlRpc.cpp
+++ b/src/coordination/control/ControlRpc.cpp
@@ -1,5 +1,7 @@
 #include "coordination/control/ControlRpc.h"
 
+#include "common/JsonReader.h"
+
 #include <jsonrpccpp/common/errors.h>
 #include <jsonrpccpp/common/exception.h>
 #include <jsonrpccpp/server.h>
@@ -11,6 +13,16 @@
 // Unknown to libjson-rpc-cpp, which puts a text of its own before the message of known codes.
 constexpr int applicationErrorCode = -32050;
 
+std::string errorMessage(int code, const std::string &what)
+{
+    Json::Value message;
+    message["jsonrpc"] = "2.0";
+    message["id"] = Json::Value::nullSingleton();
+    message["error"]["code"] = code;
+    message["error"]["message"] = what;
+    return writeJson(message);
+}
+
 } // namespace
 
 /// Receives messages from ControlServer in place of one of the library's HTTP servers.
@@ -77,10 +89,21 @@
 
 ControlRpc::~ControlRpc() = default;
 
+// The library reads a message leniently and lets exceptions out, for example of a value nested too
+// deeply; so it gets only what the strict reader accepts.
 std::string ControlRpc::handle(const std::string &message)
 {
+    const auto parsed = parseJson("request", message, ErrorKind::badMessage);
+    if (!parsed.ok()) {
+        return errorMessage(jsonrpc::Errors::ERROR_RPC_JSON_PARSE_ERROR,
+                            std::string(parsed.status().message()));
+    }
     std::string response;
-    connector_->OnRequest(message, &response);
+    try {
+        connector_->OnRequest(message, &response);
+    } catch (const std::exception &exception) {
+        return errorMessage(jsonrpc::Errors::ERROR_RPC_INVALID_REQUEST, exception.what());
+    }
     return response;
 }
 
--- a/src/transport/JsonRpcCall.cpp
+++ b/src/transport/JsonRpcCall.cpp
@@ -39,6 +39,8 @@
         outcome.ok = true;
     } catch (const jsonrpc::JsonRpcException &exception) {
         outcome.error = exception.GetMessage();
+    } catch (const std::exception &exception) {
+        outcome.error = std::string("the answer cannot be read: ") + exception.what();
     }
     return outcome;
 }
--- a/test/correctness/OddAnnouncements.cpp
+++ b/test/correctness/OddAnnouncements.cpp
@@ -1,5 +1,6 @@
 // An odd announcement is refused alone: no reader throws, and the records of others stay usable.
 #include "TestSupport.h"
+#include "coordination/control/ControlRpc.h"
 #include "coordination/control/TargetRegistry.h"
 #include "platform/Dialect.h"
 #include "platform/Target.h"
@@ -7,6 +8,8 @@
 #include "protocol/Codec.h"
 #include "transport/Address.h"
 
+#include <absl/strings/match.h>
+
 using namespace kumquat;
 
 namespace {
@@ -213,3 +216,22 @@
     registry->restoreTargets(bytes);
     LONGS_EQUAL(1, itemsOf(*registry).size());
 }
+
+TEST(OddAnnouncements, operatorsCallsThatCannotBeReadGetAnError)
+{
+    ControlRpcHooks hooks;
+    hooks.status = [](const Json::Value &) -> Json::Value { throw std::runtime_error("odd"); };
+    ControlRpc rpc(std::move(hooks));
+    const std::string start = R"({"jsonrpc":"2.0","id":1,"method":)";
+    for (const std::string &text :
+         { std::string(), std::string("x"), std::string("7"), std::string("[]"), std::string("[7]"),
+           std::string("[[]]"), std::string("{}"), std::string(100'000, '['), start + "7}",
+           start + "{}}", start + "\"status\"}", start + "\"status\",\"params\":7}",
+           start + "\"status\",\"params\":{}}", start + "\"status\",\"params\":[1]}",
+           std::string(R"({"jsonrpc":2.0,"id":{},"method":"status"})"),
+           start + "\"status\",\"params\":{\"a\":" + std::string(5'000, '[')
+               + std::string(5'000, ']') + "}}",
+           start + "\"\xff\"}" }) {
+        CHECK_TEXT(absl::StrContains(rpc.handle(text), "\"error\""), text.substr(0, 80).c_str());
+    }
+}
--- a/test/processes/test_documents.py
+++ b/test/processes/test_documents.py
@@ -239,6 +239,15 @@
         self.assertTrue(self.fleet.all_entries_serve())
         self.check_nothing_ended()
 
+    def test_odd_operators_calls_end_no_member(self):
+        for body in (b"", b"x", b"[", b"[" * 100_000, b"7", b"[[]]", b'{"jsonrpc":"2.0","id":{},"method":7}',
+                     b'{"jsonrpc":"2.0","id":1,"method":"apply","params":[]}',
+                     b'{"jsonrpc":"2.0","id":1,"method":"status","params":' + b"[" * 5000 + b"]" * 5000 + b"}"):
+            for member in range(3):
+                self.fleet.call(self.fleet.control_addresses[member], "POST", "/kumquat/v1/rpc", body)
+        self.check_nothing_ended()
+        self.assertIsNotNone(self.read(0))
+
 
 if __name__ == "__main__":
     unittest.main()
