Entries start with a retry budget in fractions, as a boolean or without one

Settings without a ratio or a slack were no JSON at all.

Cause: the slack was read as a whole number only, and the template put the values into the settings without quotes, so that a missing one left a hole.

It rounds to the stricter side: a fraction of a retry is none, `true` is the smaller of 1 and the default, `false` is 0, what is too large is the largest. An empty stopWithin is absent.

--- a/src/common/JsonReader.cpp
+++ b/src/common/JsonReader.cpp
@@ -2,8 +2,11 @@
 
 #include "common/Duration.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <algorithm>
+#include <cmath>
 
 namespace kumquat {
 
@@ -171,6 +174,31 @@
     return fallback;
 }
 
+bool JsonObject::isAbsent(const char *key)
+{
+    const Json::Value &value = member(key);
+    return value.isNull() || (value.isString() && value.asString().empty());
+}
+
+double JsonObject::limit(const char *key, double high, double fallback)
+{
+    if (isAbsent(key)) {
+        return fallback;
+    }
+    const Json::Value &value = member(key);
+    const std::string text = value.isString() ? value.asString() : "";
+    if (text == "true" || text == "false" || value.isBool()) {
+        return text == "true" || (value.isBool() && value.asBool()) ? std::min(1.0, fallback) : 0;
+    }
+    double number = value.isNumeric() ? value.asDouble() : 0;
+    const bool isNumber = value.isNumeric() || absl::SimpleAtod(text, &number);
+    if (!isNumber || !std::isfinite(number)) {
+        problems_.add(pathOf(key), "is " + shownJson(value), "write a number, true or false");
+        return fallback;
+    }
+    return std::clamp(number, 0.0, high);
+}
+
 Milliseconds JsonObject::milliseconds(const char *key, Milliseconds low, Milliseconds high,
                                       Milliseconds fallback)
 {
--- a/src/common/JsonReader.h
+++ b/src/common/JsonReader.h
@@ -55,6 +55,10 @@
                          std::int64_t fallback);
     bool flag(const char *key, bool fallback);
     double number(const char *key, double low, double high, double fallback);
+    /// A limit from 0 to \p high that may be written as a number, as the text of one or as a
+    /// boolean. What is not given exactly becomes the stricter limit: larger numbers become \p
+    /// high, `true` the smaller of 1 and \p fallback, `false` 0. An empty text counts as absent.
+    double limit(const char *key, double high, double fallback);
     Milliseconds milliseconds(const char *key, Milliseconds low, Milliseconds high,
                               Milliseconds fallback);
     /// A duration with its unit, such as `1500ms` or `2.5s`.
@@ -62,6 +66,10 @@
                           Milliseconds fallback);
     std::vector<std::string> texts(const char *key, bool required);
 
+    /// True when the member \p key is absent or an empty text, as a template leaves it that had no
+    /// value to fill in.
+    bool isAbsent(const char *key);
+
     /// The member \p key, or null when it is absent.
     const Json::Value &member(const char *key);
     std::string pathOf(const char *key) const { return path_ + "/" + key; }
--- a/src/protocol/Settings.cpp
+++ b/src/protocol/Settings.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t minKeyBytes = 16;
+constexpr double maxRetryRatio = 10;
+constexpr double maxRetrySlack = 1'000'000;
 
 absl::StatusOr<std::string> readFile(const std::string &file)
 {
@@ -84,8 +86,9 @@
         return budget;
     }
     JsonObject object(value, settings.pathOf("retryBudget"), problems);
-    budget.ratio = object.number("ratio", 0, 10, budget.ratio);
-    budget.slack = static_cast<int>(object.integer("slack", 0, 1'000'000, budget.slack));
+    budget.ratio = object.limit("ratio", maxRetryRatio, budget.ratio);
+    // A fraction of a retry is none.
+    budget.slack = static_cast<int>(object.limit("slack", maxRetrySlack, budget.slack));
     budget.windowMs = static_cast<int>(object.integer("windowMs", 100, 600'000, budget.windowMs));
     object.reportUnknownMembers();
     return budget;
@@ -110,6 +113,9 @@
 void readStopWithin(JsonObject &object, EntrySettings &settings)
 {
     constexpr Milliseconds exitMargin { 500 };
+    if (object.isAbsent("stopWithin")) {
+        return;
+    }
     const Milliseconds within
         = object.duration("stopWithin", Milliseconds(0), Milliseconds(3'600'000), Milliseconds(0));
     if (within.count() > 0) {
--- a/test/correctness/SettingsChecks.cpp
+++ b/test/correctness/SettingsChecks.cpp
@@ -60,6 +60,38 @@
                  "/heartbeat");
 }
 
+TEST(SettingsChecks, theRetryBudgetTakesFractionsBooleansAndNoValueAtAll)
+{
+    const auto slackOf = [](const std::string &value) {
+        const auto settings = parseEntrySettings(
+            "f", entryWith(R"(, "retryBudget": { "ratio": "0.1", "slack": )" + value + "}"));
+        CHECK_TEXT(settings.ok(), value.c_str());
+        DOUBLES_EQUAL(0.1, settings->retryBudget.ratio, 1e-9);
+        return settings->retryBudget.slack;
+    };
+    const std::vector<std::pair<const char *, int>> cases {
+        { "42", 42 },       { "42.5", 42 },   { "42.999", 42 },     { "true", 1 },  { "false", 0 },
+        { "\"42.5\"", 42 }, { "\"64\"", 64 }, { "\"true\"", 1 },    { "\"\"", 20 }, { "null", 20 },
+        { "0.5", 0 },       { "-3", 0 },      { "1e9", 1'000'000 },
+    };
+    for (const auto &expected : cases) {
+        LONGS_EQUAL(expected.second, slackOf(expected.first));
+    }
+    checkRefused(
+        parseEntrySettings("f", entryWith(R"(, "retryBudget": { "slack": "many" })")).status(),
+        "/retryBudget/slack");
+    checkRefused(
+        parseEntrySettings("f", entryWith(R"(, "retryBudget": { "slack": "nan" })")).status(),
+        "/retryBudget/slack");
+}
+
+TEST(SettingsChecks, anEmptyStopWithinSetsNoStopLimit)
+{
+    const auto settings = parseEntrySettings("f", entryWith(R"(, "stopWithin": "")"));
+    CHECK_TRUE(settings.ok());
+    LONGS_EQUAL(600'000, settings->stopLimitMs);
+}
+
 TEST(SettingsChecks, settingsMayHaveCommentsAndNothingElseThatIsNotJson)
 {
     CHECK_TRUE(parseEntrySettings("f", "// comment\n" + entryWith("/* more */")).ok());
--- a/test/processes/test_documents.py
+++ b/test/processes/test_documents.py
@@ -1,4 +1,5 @@
-"""Process tests of what members accept, against a strict reader of JSON that shares no code with them."""
+"""Process tests of what members and entries accept: texts against a strict reader of JSON that shares no
+code with them, announcements, operators' calls and settings."""
 
 import http.client
 import json
@@ -249,5 +250,26 @@
         self.assertIsNotNone(self.read(0))
 
 
+class BoundsFleet(DocumentFleet):
+    """Gives one entry bounds that are fractions, and the other none at all."""
+
+    def template_fields(self, name, first_start):
+        fractions = {"RetryBudgetRatio": 0.25, "BudgetSlack": 42.5, "Grace": "6.5s"}
+        bounds = dict.fromkeys(fractions, "") if name.endswith("1") else fractions
+        return dict(super().template_fields(name, first_start), Bounds=bounds)
+
+
+class Bounds(unittest.TestCase):
+    def test_entries_start_with_a_fractional_retry_budget_and_with_none(self):
+        fleet = BoundsFleet(base=3190)
+        self.addCleanup(fleet.stop)
+        fleet.start()
+        for entry in range(2):
+            process = fleet.processes[f"entry-{entry}"]
+            process.stop()
+            process.start()
+        wait_until(fleet.all_entries_serve, 20, "all entries to serve")
+
+
 if __name__ == "__main__":
     unittest.main()
