Departures: confirmed once a majority has them on disk, and kept over a restart

Cause: a member counted its own and the others' copies in memory. A cache was written to disk at most once a second, and a restored record, an item passed on by another member or a renewal counted as heard now, whatever its age; an expired lease came back as a fresh one.

A member counts its own copy once it is synced, and acknowledges a feed only up to what it has synced (FeedPoll::storedCursor); a member with a slow disk goes on polling without acknowledging. Stored items, items passed on and renewals carry their age. Targets that are gone or silent are forgotten after ten minutes, and at most 16,384 of them are remembered.

The existing calls of itemsAfter() in TargetFeedUpdates take the time now; nothing else in them changed.

Ruled out: the replicated log as the place, which would write each departure behind documents and need the leader; the whole cache at each departure (27 KB for 600 targets).

--- a/src/coordination/control/ControlDocuments.cpp
+++ b/src/coordination/control/ControlDocuments.cpp
@@ -17,9 +17,6 @@
 /// Little more than the second after which an operator without a response tries another member.
 constexpr Milliseconds documentCommitTimeout { 1'500 };
 constexpr Milliseconds forwardTimeout { 1'500 };
-constexpr char targetCacheFile[] = "targets";
-/// The cache is written at most this often; targets change rarely.
-constexpr Milliseconds targetCacheInterval { 1'000 };
 /// Time between two checks of the settings file.
 constexpr Milliseconds settingsCheckInterval { 1'000 };
 
@@ -50,12 +47,17 @@
     };
     hooks.hasNewerConfiguration
         = [this](const FeedPoll &poll) { return hasNewerConfiguration(poll); };
-    registry_ = std::make_unique<TargetRegistry>(loop_, options, dialect_, std::move(hooks));
+    hooks.runDiskWork
+        = [this](std::function<absl::Status()> work, std::function<void(absl::Status)> done) {
+              runDiskWork(std::move(work), std::move(done));
+          };
+    registry_ = std::make_unique<TargetRegistry>(loop_, options, dialect_, disk_, std::move(hooks));
 
     ControlFeedHooks feedHooks;
     feedHooks.fillPoll = [](FeedPoll &) {};
     feedHooks.responseReceived
         = [this](const std::string &, const FeedResponse &response) { registry_->merge(response); };
+    feedHooks.waitUntilStored = [this](Yield yield) { return registry_->waitUntilStored(yield); };
     feedHooks.reachabilityChanged = [](const std::string &member, bool reachable) {
         logEvent(reachable ? Event::peerUp : Event::peerDown, LogLevel::info, "peer={}", member);
     };
@@ -85,34 +87,6 @@
     logEvent(Event::settingsReloaded, LogLevel::info, "seeds={}", settings_.seeds.size());
 }
 
-void ControlServer::loadTargetCache()
-{
-    const auto bytes = disk_.read(targetCacheFile);
-    if (bytes) {
-        registry_->restoreTargets(*bytes);
-    }
-}
-
-// The cache bridges the time until the targets' next heartbeats after a power loss. It may be
-// outdated: a target that has changed since corrects it with its next heartbeat.
-void ControlServer::saveTargetCache()
-{
-    const TimePoint now = Clock::now();
-    const std::uint64_t cursor = registry_->feed().cursor();
-    if (cursor == targetCacheCursor_ || now - targetCacheSavedAt_ < targetCacheInterval) {
-        return;
-    }
-    targetCacheCursor_ = cursor;
-    targetCacheSavedAt_ = now;
-    asio::post(diskLoop_, [this, bytes = registry_->packTargets()] {
-        const absl::Status written = disk_.replace(targetCacheFile, bytes);
-        if (!written.ok()) {
-            logEvent(Event::targetCacheFailed, LogLevel::warning,
-                     "the target cache cannot be written: {}", std::string(written.message()));
-        }
-    });
-}
-
 std::vector<FeedMember> ControlServer::feedMembers() const
 {
     std::vector<FeedMember> list;
--- a/src/coordination/control/ControlOperations.cpp
+++ b/src/coordination/control/ControlOperations.cpp
@@ -224,6 +224,11 @@
     page.counter("control_files_served_total", {}, static_cast<double>(filesServed_));
     page.counter("control_once_calls_total", {}, static_cast<double>(onceCalls_));
     page.gauge("control_once_records", {}, static_cast<double>(node_->state().once().size()));
+    if (registry_) {
+        const TargetCache &cache = registry_->cache();
+        page.counter("control_target_syncs_total", {}, static_cast<double>(cache.syncs()));
+        page.counter("control_target_bytes_total", {}, static_cast<double>(cache.bytesWritten()));
+    }
     return page.text();
 }
 
--- a/src/coordination/control/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -95,10 +95,7 @@
         = [](const absl::Status &status) { KUMQUAT_ASSERT(false, std::string(status.message())); };
     hooks.runDiskWork
         = [this](std::function<absl::Status()> work, std::function<void(absl::Status)> done) {
-              asio::post(diskLoop_, [this, work = std::move(work), done = std::move(done)] {
-                  const absl::Status status = work();
-                  asio::post(loop_, [done, status] { done(status); });
-              });
+              runDiskWork(std::move(work), std::move(done));
           };
     Disk disk;
     absl::Status status = openFolder(settings_.dataFolder, disk);
@@ -109,7 +106,7 @@
     }
     if (status.ok() && !settings_.seeds.empty()) {
         openFeed();
-        loadTargetCache();
+        registry_->loadTargets();
     }
     status.Update(openMetrics());
     return status.ok() ? server_->listen(address_) : status;
@@ -150,11 +147,19 @@
             registry_->tick();
             node_->setPeers(feed_->addresses());
             reloadSettings();
-            saveTargetCache();
         }
     }
 }
 
+void ControlServer::runDiskWork(std::function<absl::Status()> work,
+                                std::function<void(absl::Status)> done)
+{
+    asio::post(diskLoop_, [this, work = std::move(work), done = std::move(done)] {
+        const absl::Status status = work();
+        asio::post(loop_, [done, status] { done(status); });
+    });
+}
+
 HttpResponse ControlServer::notLeaderResponse() const
 {
     HttpResponse response
--- a/src/coordination/control/ControlServer.h
+++ b/src/coordination/control/ControlServer.h
@@ -50,8 +50,6 @@
     // Configuration documents, the target feed with its cache, and reloaded settings.
     void openFeed();
     void reloadSettings();
-    void loadTargetCache();
-    void saveTargetCache();
     HttpResponse handleDocument(const HttpRequest &request, Yield yield);
     HttpResponse putDocument(std::uint64_t version, const std::string &text, Yield yield);
     HttpResponse readDocument(Yield yield);
@@ -67,6 +65,7 @@
     absl::StatusOr<ControlResult> propose(ControlCommand command, Milliseconds timeout,
                                           Yield yield);
     void tickPeriodically(Yield yield);
+    void runDiskWork(std::function<absl::Status()> work, std::function<void(absl::Status)> done);
 
     // Called on the operators' thread; each waits for the event loop.
     Json::Value rpcForm(const Json::Value &parameters);
@@ -85,8 +84,6 @@
     ControlSettings settings_;
     FileWatch settingsWatch_;
     TimePoint settingsCheckedAt_;
-    TimePoint targetCacheSavedAt_;
-    std::uint64_t targetCacheCursor_ = 0;
     Disk disk_;
     Address address_;
     asio::io_context loop_ { 1 };
--- a/src/coordination/control/TargetRegistry.cpp
+++ b/src/coordination/control/TargetRegistry.cpp
@@ -23,6 +23,9 @@
 constexpr Milliseconds subscriberTimeout { 2'000 };
 constexpr Milliseconds forgetSubscriberAfter { 30'000 };
 constexpr Milliseconds acknowledgementPollInterval { 5 };
+constexpr Milliseconds storePollInterval { 1 };
+/// A member whose disk is slower than this goes on polling without acknowledging.
+constexpr Milliseconds storeTimeout { 500 };
 constexpr Milliseconds maxPollWait { 5'000 };
 /// Delay between a change and the response to a poll, so that one response carries several changes.
 constexpr Milliseconds batchDelay { 15 };
@@ -37,9 +40,10 @@
 } // namespace
 
 TargetRegistry::TargetRegistry(asio::io_context &context, TargetRegistryOptions options,
-                               const Dialect &dialect, TargetRegistryHooks hooks)
+                               const Dialect &dialect, Disk disk, TargetRegistryHooks hooks)
     : context_(context), options_(std::move(options)), dialect_(dialect), hooks_(std::move(hooks)),
-      feed_(options_.heartbeatInterval * heartbeatsPerLease), sessionId_(randomSeed())
+      feed_(options_.heartbeatInterval * heartbeatsPerLease),
+      cache_(std::move(disk), feed_, { hooks_.runDiskWork, Clock::now }), sessionId_(randomSeed())
 {
 }
 
@@ -75,14 +79,13 @@
                  record.service, targetStateName(record.state), record.incarnation, record.version);
         wakeWaitingPolls();
     }
-    if (isDeparting && !waitForAcknowledgements(feed_.cursor(), yield)) {
+    if (isDeparting && !waitForAcknowledgements(feed_.cursorOf(record.name), yield)) {
         logEvent(Event::departureNotConfirmed, LogLevel::warning, "target={} incarnation={}",
                  record.name, record.incarnation);
-        return errorResponse(
-            http::status::service_unavailable,
-            makeError(ErrorKind::unavailable,
-                      "no majority of the group has acknowledged the departure yet",
-                      "send it to another member"));
+        return errorResponse(http::status::service_unavailable,
+                             makeError(ErrorKind::unavailable,
+                                       "no majority of the group has stored the departure yet",
+                                       "send it to another member"));
     }
     return textResponse(http::status::ok, "{}");
 }
@@ -92,7 +95,8 @@
 bool TargetRegistry::waitForAcknowledgements(std::uint64_t cursor, Yield yield)
 {
     const TimePoint start = Clock::now();
-    bool hasMajority = majorityAcknowledged(cursor);
+    cache_.flush();
+    bool hasMajority = storedByMajority(cursor);
     while (Clock::now() - start < majorityTimeout) {
         const bool haveEntries
             = entriesAcknowledged(cursor, Clock::now()) || Clock::now() - start > entryTimeout;
@@ -100,27 +104,28 @@
             return true;
         }
         pauseFor(context_, acknowledgementPollInterval, yield);
-        hasMajority = majorityAcknowledged(cursor);
+        hasMajority = storedByMajority(cursor);
     }
     return hasMajority;
 }
 
-bool TargetRegistry::majorityAcknowledged(std::uint64_t cursor) const
+// A process that is killed forgets what it only holds in memory, and all may be killed at once.
+bool TargetRegistry::storedByMajority(std::uint64_t cursor) const
 {
     std::size_t voters = 0;
-    std::size_t acknowledgements = 0;
+    std::size_t copies = 0;
     for (const FeedMember &member : hooks_.members()) {
         if (!member.voter) {
             continue;
         }
         ++voters;
         const auto subscriber = subscribers_.find(member.name);
-        const bool acknowledgedIt = member.name == options_.name
-            || (subscriber != subscribers_.end()
-                && subscriber->second.acknowledgedCursor >= cursor);
-        acknowledgements += acknowledgedIt ? 1 : 0;
+        const bool isStored = member.name == options_.name
+            ? cache_.storedCursor() >= cursor
+            : subscriber != subscribers_.end() && subscriber->second.acknowledgedCursor >= cursor;
+        copies += isStored ? 1 : 0;
     }
-    return voters > 0 && acknowledgements > voters / 2;
+    return voters > 0 && copies > voters / 2;
 }
 
 bool TargetRegistry::entriesAcknowledged(std::uint64_t cursor, TimePoint now) const
@@ -145,7 +150,8 @@
     subscriber.isMember = poll.isMember;
     subscriber.reportAddress = poll.reportAddress;
     subscriber.polledAt = Clock::now();
-    subscriber.acknowledgedCursor = poll.feedSessionId == sessionId_ ? poll.cursor : 0;
+    const std::uint64_t acknowledged = poll.isMember ? poll.storedCursor : poll.cursor;
+    subscriber.acknowledgedCursor = poll.feedSessionId == sessionId_ ? acknowledged : 0;
     return subscriber;
 }
 
@@ -160,8 +166,8 @@
     for (const FeedSuspicion &suspicion : poll->suspicions) {
         (void)feed_.addSuspicion(suspicion);
     }
-    const std::uint64_t known = updateSubscriber(*poll).acknowledgedCursor;
-    waitForChanges(*poll, known, yield);
+    (void)updateSubscriber(*poll);
+    waitForChanges(*poll, poll->feedSessionId == sessionId_ ? poll->cursor : 0, yield);
     FeedResponse response = makeResponse(*poll, subscribers_[poll->subscriber]);
     hooks_.attachNewerVersion(*poll, response, yield);
     return textResponse(http::status::ok, pack(response), "application/msgpack");
@@ -193,10 +199,10 @@
     FeedResponse response;
     response.feedSessionId = sessionId_;
     response.cursor = feed_.cursor();
-    response.items = feed_.itemsAfter(known);
+    response.items = feed_.itemsAfter(known, now);
     response.suspicions = feed_.suspicionsAfter(known);
     if (poll.isMember) {
-        response.renewals = feed_.renewalsSince(subscriber.renewalsSentAt);
+        response.renewals = feed_.renewalsSince(subscriber.renewalsSentAt, now);
         subscriber.renewalsSentAt = now;
     }
     response.members = hooks_.members();
@@ -230,7 +236,7 @@
     const TimePoint now = Clock::now();
     bool changed = false;
     for (const FeedItem &item : response.items) {
-        changed = feed_.merge(item.record, now) || changed;
+        changed = feed_.mergeItem(item, now) || changed;
     }
     for (const FeedRenewal &renewal : response.renewals) {
         feed_.renew(renewal, now);
@@ -239,16 +245,28 @@
         (void)feed_.addSuspicion(suspicion);
     }
     if (changed) {
+        cache_.tick();
         wakeWaitingPolls();
     }
 }
 
+bool TargetRegistry::waitUntilStored(Yield yield)
+{
+    const std::uint64_t cursor = feed_.departureCursor();
+    const TimePoint end = Clock::now() + storeTimeout;
+    while (cache_.storedCursor() < cursor && Clock::now() < end) {
+        pauseFor(context_, storePollInterval, yield);
+    }
+    return cache_.storedCursor() >= cursor;
+}
+
 void TargetRegistry::tick()
 {
     const TimePoint now = Clock::now();
     if (feed_.expire(now)) {
         wakeWaitingPolls();
     }
+    cache_.tick();
     for (auto entry = subscribers_.begin(); entry != subscribers_.end();) {
         const bool isExpired = now - entry->second.polledAt > forgetSubscriberAfter;
         entry = isExpired ? subscribers_.erase(entry) : std::next(entry);
@@ -262,23 +280,4 @@
     }
 }
 
-std::string TargetRegistry::packTargets() const
-{
-    return pack(feed_.itemsAfter(0));
-}
-
-void TargetRegistry::restoreTargets(const std::string &bytes)
-{
-    const auto items = unpack<std::vector<FeedItem>>(bytes);
-    if (!items.ok()) {
-        logEvent(Event::targetCacheFailed, LogLevel::warning, "{}",
-                 std::string(items.status().message()));
-        return;
-    }
-    const TimePoint now = Clock::now();
-    for (const FeedItem &item : *items) {
-        (void)feed_.merge(item.record, now);
-    }
-}
-
 } // namespace kumquat
--- a/src/coordination/control/TargetRegistry.h
+++ b/src/coordination/control/TargetRegistry.h
@@ -1,10 +1,10 @@
 #pragma once
 /// \file
 /// Receives the announcements of targets and serves the target feed to entries and other members.
-/// A departure is confirmed only after a majority of the group has acknowledged it; live entries
-/// are waited for as well, but only for a bounded time.
+/// A departure is confirmed only after a majority of the group has it on disk; live entries are
+/// waited for as well, but only for a bounded time.
 
-#include "coordination/membership/TargetFeed.h"
+#include "coordination/control/TargetCache.h"
 #include "protocol/Dialect.h"
 #include "transport/HttpServer.h"
 
@@ -18,6 +18,9 @@
     std::function<void(const FeedPoll &, FeedResponse &, Yield)> attachNewerVersion;
     /// True when this member leads and holds a configuration newer than the poll's.
     std::function<bool(const FeedPoll &)> hasNewerConfiguration;
+    /// As in TargetCacheHooks.
+    std::function<void(std::function<absl::Status()> work, std::function<void(absl::Status)> done)>
+        runDiskWork;
 };
 
 struct TargetRegistryOptions
@@ -30,7 +33,10 @@
 {
 public:
     TargetRegistry(asio::io_context &context, TargetRegistryOptions options, const Dialect &dialect,
-                   TargetRegistryHooks hooks);
+                   Disk disk, TargetRegistryHooks hooks);
+
+    /// Reads the targets that were known before a restart. Call it once, before anything else.
+    void loadTargets() { cache_.load(); }
 
     /// Responds to a target's heartbeat or departure.
     HttpResponse handleAnnouncement(const HttpRequest &request, Yield yield);
@@ -38,18 +44,16 @@
 
     /// Merges another member's feed into this one.
     void merge(const FeedResponse &response);
+    /// Waits, for a short time, until all departures known now are on disk; false if they are not.
+    bool waitUntilStored(Yield yield);
 
     /// Must be called several times a second.
     void tick();
     /// Makes the waiting polls check again for changes, as after a new configuration.
     void wakeWaitingPolls();
 
-    /// Packs the known targets for the cache file.
-    std::string packTargets() const;
-    /// Merges the targets of a cache file; announcements of the targets themselves take precedence.
-    void restoreTargets(const std::string &bytes);
-
     const TargetFeed &feed() const { return feed_; }
+    const TargetCache &cache() const { return cache_; }
     std::size_t subscriberCount() const { return subscribers_.size(); }
 
 private:
@@ -65,7 +69,7 @@
 
     HttpResponse applyRecord(const TargetRecord &record, Yield yield);
     bool waitForAcknowledgements(std::uint64_t cursor, Yield yield);
-    bool majorityAcknowledged(std::uint64_t cursor) const;
+    bool storedByMajority(std::uint64_t cursor) const;
     bool entriesAcknowledged(std::uint64_t cursor, TimePoint now) const;
     Subscriber &updateSubscriber(const FeedPoll &poll);
     void addEntryAddresses(const FeedPoll &poll, FeedResponse &response) const;
@@ -77,6 +81,7 @@
     const Dialect &dialect_;
     TargetRegistryHooks hooks_;
     TargetFeed feed_;
+    TargetCache cache_;
     std::uint64_t sessionId_; ///< random number drawn at this member's start
     std::map<std::string, Subscriber> subscribers_;
     std::set<Timer *> waitingTimers_;
--- a/src/coordination/membership/ControlFeed.cpp
+++ b/src/coordination/membership/ControlFeed.cpp
@@ -14,6 +14,8 @@
 /// Added to `pollWait` for the round trip.
 constexpr Milliseconds responseMargin { 500 };
 constexpr Milliseconds retryInterval { 60 };
+/// Replaces `pollWait` while something is not on disk yet, so that it is acknowledged soon after.
+constexpr Milliseconds unstoredPollWait { 20 };
 /// A member that does not respond is dropped when no response has listed it for this long.
 constexpr Milliseconds forgetAfter { 20'000 };
 
@@ -89,6 +91,14 @@
     }
 }
 
+Milliseconds ControlFeed::pollWaitOf(const Subscription &subscription) const
+{
+    if (!subscription.reachable) {
+        return Milliseconds(0);
+    }
+    return subscription.storedCursor < subscription.cursor ? unstoredPollWait : pollWait;
+}
+
 bool ControlFeed::poll(const std::string &address, Subscription &subscription, Yield yield)
 {
     FeedPoll poll;
@@ -98,7 +108,8 @@
     poll.feedSessionId = subscription.feedSessionId;
     poll.cursor = subscription.cursor;
     poll.knownEntriesHash = subscription.knownEntriesHash;
-    poll.waitMs = subscription.reachable ? pollWait.count() : 0;
+    poll.storedCursor = subscription.storedCursor;
+    poll.waitMs = pollWaitOf(subscription).count();
     hooks_.fillPoll(poll);
     const TimePoint started = Clock::now();
     const auto httpResponse = client_.post(*parseAddress(address), wire::feedPath, pack(poll),
@@ -110,6 +121,9 @@
     if (!response.ok()) {
         return false;
     }
+    if (subscription.feedSessionId != response->feedSessionId) {
+        subscription.storedCursor = 0;
+    }
     subscription.feedSessionId = response->feedSessionId;
     subscription.cursor = response->cursor;
     subscription.knownEntriesHash = response->entriesHash;
@@ -119,6 +133,9 @@
         subscribe(member.address, false);
     }
     hooks_.responseReceived(address, *response);
+    if (!hooks_.waitUntilStored || hooks_.waitUntilStored(yield)) {
+        subscription.storedCursor = response->cursor;
+    }
     return true;
 }
 
--- a/src/coordination/membership/ControlFeed.h
+++ b/src/coordination/membership/ControlFeed.h
@@ -16,6 +16,9 @@
     std::function<void(FeedPoll &)> fillPoll;
     /// Called with each response; \p member is the responding member's address.
     std::function<void(const std::string &member, const FeedResponse &)> responseReceived;
+    /// For a member: waits, for a short time, until the departures of all responses so far are on
+    /// its disk; false if they are not. Without it every response is acknowledged at once.
+    std::function<bool(Yield)> waitUntilStored;
     /// Called when the member at address \p member begins or ceases to respond.
     std::function<void(const std::string &member, bool reachable)> reachabilityChanged;
 };
@@ -53,11 +56,13 @@
         TimePoint lastListedAt; ///< when a response last listed it, or it last responded
         std::uint64_t feedSessionId = 0;
         std::uint64_t cursor = 0;
+        std::uint64_t storedCursor = 0; ///< the cursor up to which departures are on disk
         std::uint64_t knownEntriesHash = 0;
     };
 
     void pollRepeatedly(const std::string &address, Yield yield);
     bool poll(const std::string &address, Subscription &subscription, Yield yield);
+    Milliseconds pollWaitOf(const Subscription &subscription) const;
     void setReachable(const std::string &address, Subscription &subscription, bool reachable);
 
     asio::io_context &context_;
--- a/src/coordination/membership/TargetFeed.cpp
+++ b/src/coordination/membership/TargetFeed.cpp
@@ -1,5 +1,7 @@
 #include "coordination/membership/TargetFeed.h"
 
+#include <algorithm>
+
 namespace kumquat {
 
 namespace {
@@ -11,21 +13,58 @@
         && left.port == right.port && left.service == right.service && left.slots == right.slots;
 }
 
+Milliseconds ageAt(TimePoint now, TimePoint heard)
+{
+    return std::chrono::duration_cast<Milliseconds>(now - heard);
+}
+
+TimePoint heardAt(std::int64_t ageMs, TimePoint now)
+{
+    return now - Milliseconds(std::max<std::int64_t>(0, ageMs));
+}
+
 } // namespace
 
+void TargetFeed::advanceCursor(StoredTarget &stored)
+{
+    stored.cursor = ++cursor_;
+    if (stored.item.record.state >= TargetState::draining) {
+        departureCursor_ = cursor_;
+    }
+}
+
 bool TargetFeed::merge(const TargetRecord &record, TimePoint now)
 {
     StoredTarget &stored = targets_[record.name];
-    const bool isNew = stored.cursor == 0;
-    if (!isNew && !supersedes(record, stored.item.record)) {
+    if (!stored.isNew() && !supersedes(record, stored.item.record)) {
         return false;
     }
-    const bool changed
-        = isNew || stored.item.leaseExpired || !equalForSubscribers(stored.item.record, record);
-    stored.item.record = record;
-    stored.item.leaseExpired = false;
     stored.lastHeartbeatAt = now;
     stored.lastMergedAt = now;
+    return store(stored, record, false, now);
+}
+
+// Only its own age says when the target was last heard: if an item that was passed on or read from
+// disk counted as a heartbeat, a silent target would stay usable for another lease.
+bool TargetFeed::mergeItem(const FeedItem &item, TimePoint now)
+{
+    StoredTarget &stored = targets_[item.record.name];
+    if (!stored.isNew() && !supersedes(item.record, stored.item.record)) {
+        return false;
+    }
+    stored.lastHeartbeatAt = std::max(stored.lastHeartbeatAt, heardAt(item.ageMs, now));
+    const bool leaseExpired
+        = item.record.state != TargetState::gone && now - stored.lastHeartbeatAt > lease_;
+    return store(stored, item.record, leaseExpired, now);
+}
+
+bool TargetFeed::store(StoredTarget &stored, const TargetRecord &record, bool leaseExpired,
+                       TimePoint now)
+{
+    const bool changed = stored.isNew() || stored.item.leaseExpired != leaseExpired
+        || !equalForSubscribers(stored.item.record, record);
+    stored.item.record = record;
+    stored.item.leaseExpired = leaseExpired;
     if (!changed) {
         return false;
     }
@@ -64,8 +103,8 @@
         return;
     }
     record.version = std::max(record.version, renewal.version);
-    stored.lastHeartbeatAt = now;
-    if (stored.item.leaseExpired) {
+    stored.lastHeartbeatAt = std::max(stored.lastHeartbeatAt, heardAt(renewal.ageMs, now));
+    if (stored.item.leaseExpired && now - stored.lastHeartbeatAt <= lease_) {
         stored.item.leaseExpired = false;
         advanceCursor(stored);
     }
@@ -88,35 +127,71 @@
 bool TargetFeed::expire(TimePoint now)
 {
     bool changed = false;
-    for (auto entry = targets_.begin(); entry != targets_.end();) {
-        StoredTarget &stored = entry->second;
+    for (auto &entry : targets_) {
+        StoredTarget &stored = entry.second;
         const bool gone = stored.item.record.state == TargetState::gone;
-        if (gone && now - stored.goneAt > goneRetention) {
-            entry = targets_.erase(entry);
-            continue;
-        }
         if (!gone && !stored.item.leaseExpired && now - stored.lastHeartbeatAt > lease_) {
             stored.item.leaseExpired = true;
             advanceCursor(stored);
             changed = true;
         }
-        ++entry;
     }
+    forgetEnded(now);
     return changed;
 }
 
+TimePoint TargetFeed::endedAt(const StoredTarget &stored) const
+{
+    if (stored.item.record.state == TargetState::gone) {
+        return stored.goneAt;
+    }
+    return stored.item.leaseExpired ? stored.lastHeartbeatAt + lease_ : TimePoint::max();
+}
+
+void TargetFeed::forgetEnded(TimePoint now)
+{
+    std::vector<std::pair<TimePoint, std::string>> ended;
+    for (auto entry = targets_.begin(); entry != targets_.end();) {
+        const TimePoint end = endedAt(entry->second);
+        if (end != TimePoint::max() && now - end > goneRetention) {
+            entry = targets_.erase(entry);
+            continue;
+        }
+        if (end != TimePoint::max()) {
+            ended.emplace_back(end, entry->first);
+        }
+        ++entry;
+    }
+    if (ended.size() <= maxEnded) {
+        return;
+    }
+    std::sort(ended.begin(), ended.end());
+    ended.resize(ended.size() - maxEnded);
+    for (const auto &oldest : ended) {
+        targets_.erase(oldest.second);
+    }
+}
+
 const TargetRecord *TargetFeed::find(const std::string &name) const
 {
     const auto found = targets_.find(name);
     return found == targets_.end() ? nullptr : &found->second.item.record;
 }
 
-std::vector<FeedItem> TargetFeed::itemsAfter(std::uint64_t cursor) const
+std::uint64_t TargetFeed::cursorOf(const std::string &name) const
+{
+    const auto found = targets_.find(name);
+    return found == targets_.end() ? 0 : found->second.cursor;
+}
+
+std::vector<FeedItem> TargetFeed::itemsAfter(std::uint64_t cursor, TimePoint now) const
 {
     std::vector<FeedItem> items;
     for (const auto &entry : targets_) {
-        if (entry.second.cursor > cursor) {
-            items.push_back(entry.second.item);
+        const StoredTarget &stored = entry.second;
+        if (stored.cursor > cursor) {
+            items.push_back({ stored.item.record, stored.item.leaseExpired,
+                              ageAt(now, stored.lastHeartbeatAt).count() });
         }
     }
     return items;
@@ -133,13 +208,15 @@
     return suspicions;
 }
 
-std::vector<FeedRenewal> TargetFeed::renewalsSince(TimePoint since) const
+std::vector<FeedRenewal> TargetFeed::renewalsSince(TimePoint since, TimePoint now) const
 {
     std::vector<FeedRenewal> renewals;
     for (const auto &entry : targets_) {
         const TargetRecord &record = entry.second.item.record;
-        if (entry.second.lastMergedAt > since && record.state != TargetState::gone) {
-            renewals.push_back({ record.name, record.incarnation, record.version });
+        const TimePoint heard = entry.second.lastMergedAt;
+        if (heard > since && record.state != TargetState::gone) {
+            renewals.push_back(
+                { record.name, record.incarnation, record.version, ageAt(now, heard).count() });
         }
     }
     return renewals;
--- a/src/coordination/membership/TargetFeed.h
+++ b/src/coordination/membership/TargetFeed.h
@@ -15,37 +15,47 @@
 class TargetFeed
 {
 public:
-    /// A target that is gone is remembered this long, so that a late heartbeat cannot revive it.
+    /// A target that is gone, or silent, is remembered this long, so that a late heartbeat cannot
+    /// revive it.
     static constexpr Milliseconds goneRetention { 600'000 };
+    /// Of the targets that are gone or silent, no more than this many are remembered.
+    static constexpr std::size_t maxEnded = 16'384;
     static constexpr std::size_t maxSuspicions = 4'096;
 
     /// \p lease is how long a target may go without a heartbeat before its lease has expired.
     explicit TargetFeed(Milliseconds lease) : lease_(lease) { }
 
-    /// Merges a record that a target announced or another member passed on. True when
-    /// subscribers must be told.
+    /// Merges a record that a target announced to this member. True when subscribers must be told.
     bool merge(const TargetRecord &record, TimePoint now);
 
+    /// Merges an item that another member passed on or that was read from disk. It counts as heard
+    /// when its age says. True when subscribers must be told.
+    bool mergeItem(const FeedItem &item, TimePoint now);
+
     /// Applies a heartbeat that another member received.
     void renew(const FeedRenewal &renewal, TimePoint now);
 
     /// Adds a suspicion; true when it is new.
     bool addSuspicion(const FeedSuspicion &suspicion);
 
-    /// Marks targets whose lease has expired and removes those that have been gone for
+    /// Marks targets whose lease has expired and removes those that have been gone or silent for
     /// `goneRetention`; true when subscribers must be told of an expired lease.
     bool expire(TimePoint now);
 
     const TargetRecord *find(const std::string &name) const;
+    /// The cursor of the latest change of a target; 0 if it is unknown.
+    std::uint64_t cursorOf(const std::string &name) const;
     std::size_t size() const { return targets_.size(); }
     std::uint64_t cursor() const { return cursor_; }
+    /// The cursor of the latest change to a target that drains or is gone.
+    std::uint64_t departureCursor() const { return departureCursor_; }
 
     /// The targets and suspicions that changed after \p cursor.
-    std::vector<FeedItem> itemsAfter(std::uint64_t cursor) const;
+    std::vector<FeedItem> itemsAfter(std::uint64_t cursor, TimePoint now) const;
     std::vector<FeedSuspicion> suspicionsAfter(std::uint64_t cursor) const;
 
-    /// The latest heartbeats that merge() took after \p since, of targets that are not gone.
-    std::vector<FeedRenewal> renewalsSince(TimePoint since) const;
+    /// The latest heartbeats that targets sent to this member after \p since; not of those gone.
+    std::vector<FeedRenewal> renewalsSince(TimePoint since, TimePoint now) const;
 
 private:
     struct StoredTarget
@@ -55,6 +65,7 @@
         TimePoint lastHeartbeatAt; ///< received by any member
         TimePoint lastMergedAt; ///< of the last record that merge() took
         TimePoint goneAt;
+        bool isNew() const { return cursor == 0; }
     };
 
     struct StoredSuspicion
@@ -63,14 +74,18 @@
         std::uint64_t cursor = 0;
     };
 
+    bool store(StoredTarget &stored, const TargetRecord &record, bool leaseExpired, TimePoint now);
     void retireEarlierTargets(const TargetRecord &record, TimePoint now);
-    void advanceCursor(StoredTarget &stored) { stored.cursor = ++cursor_; }
+    void advanceCursor(StoredTarget &stored);
+    TimePoint endedAt(const StoredTarget &stored) const;
+    void forgetEnded(TimePoint now);
 
     Milliseconds lease_;
     std::map<std::string, StoredTarget> targets_;
     std::deque<StoredSuspicion> suspicions_;
     std::set<std::pair<std::uint64_t, std::string>> knownSuspicions_;
     std::uint64_t cursor_ = 0;
+    std::uint64_t departureCursor_ = 0;
 };
 
 } // namespace kumquat
--- a/src/protocol/FeedMessage.h
+++ b/src/protocol/FeedMessage.h
@@ -12,7 +12,8 @@
 {
     TargetRecord record;
     bool leaseExpired = false; ///< this member learned of no heartbeat within the lease
-    MSGPACK_DEFINE(record, leaseExpired)
+    std::int64_t ageMs = 0; ///< time since the last heartbeat that this member learned of
+    MSGPACK_DEFINE(record, leaseExpired, ageMs)
 };
 
 /// A heartbeat that changed only the record's version.
@@ -21,7 +22,8 @@
     std::string target;
     std::uint64_t incarnation = 0;
     std::uint64_t version = 0;
-    MSGPACK_DEFINE(target, incarnation, version)
+    std::int64_t ageMs = 0; ///< time since that heartbeat
+    MSGPACK_DEFINE(target, incarnation, version, ageMs)
 };
 
 /// A target's connection ended while it ran the request with this fingerprint.
@@ -42,7 +44,8 @@
     MSGPACK_DEFINE(name, address, voter)
 };
 
-/// Asks for what changed after the cursor, and acknowledges everything up to it.
+/// Asks for what changed after the cursor. An entry acknowledges everything up to it; a member
+/// acknowledges only what is on its disk.
 struct FeedPoll
 {
     std::string subscriber;
@@ -56,8 +59,9 @@
     std::vector<FeedSuspicion> suspicions;
     std::string reportAddress; ///< for other entries' load reports; may be empty
     std::uint64_t knownEntriesHash = 0; ///< `entriesHash` of the previous response
+    std::uint64_t storedCursor = 0; ///< of a member: the departures up to it are on its disk
     MSGPACK_DEFINE(subscriber, subscriberSessionId, isMember, feedSessionId, cursor, epoch, number,
-                   waitMs, suspicions, reportAddress, knownEntriesHash)
+                   waitMs, suspicions, reportAddress, knownEntriesHash, storedCursor)
 };
 
 struct FeedResponse
--- a/test/correctness/TargetFeedUpdates.cpp
+++ b/test/correctness/TargetFeedUpdates.cpp
@@ -61,8 +61,8 @@
     const std::uint64_t cursor = feed.cursor();
     CHECK_FALSE(feed.merge(record("a", 5, 2, TargetState::ready), clock.now));
     LONGS_EQUAL(cursor, feed.cursor());
-    LONGS_EQUAL(0, feed.itemsAfter(cursor).size());
-    LONGS_EQUAL(1, feed.itemsAfter(cursor - 1).size());
+    LONGS_EQUAL(0, feed.itemsAfter(cursor, clock.now).size());
+    LONGS_EQUAL(1, feed.itemsAfter(cursor - 1, clock.now).size());
 }
 
 TEST(TargetFeedUpdates, aRenewalFromAnotherMemberKeepsTheLease)
@@ -73,11 +73,11 @@
     feed.renew({ "a", 5, 4 }, clock.now);
     clock.advance(Milliseconds(1));
     CHECK_TRUE(feed.expire(clock.now));
-    for (const FeedItem &item : feed.itemsAfter(0)) {
+    for (const FeedItem &item : feed.itemsAfter(0, clock.now)) {
         CHECK_TRUE(item.leaseExpired == (item.record.name == "b"));
     }
     feed.renew({ "b", 5, 2 }, clock.now);
-    CHECK_FALSE(feed.itemsAfter(0)[1].leaseExpired);
+    CHECK_FALSE(feed.itemsAfter(0, clock.now)[1].leaseExpired);
 }
 
 TEST(TargetFeedUpdates, aRenewalOfAnEarlierIncarnationIsIgnored)
@@ -88,6 +88,48 @@
     CHECK_TRUE(feed.expire(clock.now));
 }
 
+TEST(TargetFeedUpdates, anOldHeartbeatFromAnotherMemberRenewsNoExpiredLease)
+{
+    (void)feed.merge(record("a", 5, 1, TargetState::ready), clock.now);
+    clock.advance(lease + Milliseconds(1));
+    CHECK_TRUE(feed.expire(clock.now));
+    feed.renew({ "a", 5, 4, lease.count() + 1 }, clock.now);
+    CHECK_TRUE(feed.itemsAfter(0, clock.now)[0].leaseExpired);
+    feed.renew({ "a", 5, 5, 0 }, clock.now);
+    CHECK_FALSE(feed.itemsAfter(0, clock.now)[0].leaseExpired);
+}
+
+TEST(TargetFeedUpdates, anItemFromAnotherMemberIsAsOldAsItSays)
+{
+    CHECK_TRUE(feed.mergeItem({ record("a", 5, 1, TargetState::ready), false, 5'000 }, clock.now));
+    clock.advance(Milliseconds(1'001));
+    CHECK_TRUE(feed.expire(clock.now));
+    LONGS_EQUAL(0, feed.renewalsSince(TimePoint(), clock.now).size());
+}
+
+TEST(TargetFeedUpdates, aSilentTargetIsForgottenAfterTheRetention)
+{
+    (void)feed.merge(record("a", 5, 1, TargetState::ready), clock.now);
+    clock.advance(lease + TargetFeed::goneRetention);
+    (void)feed.expire(clock.now);
+    LONGS_EQUAL(1, feed.size());
+    clock.advance(Milliseconds(1));
+    (void)feed.expire(clock.now);
+    LONGS_EQUAL(0, feed.size());
+}
+
+TEST(TargetFeedUpdates, theOldestOfTooManyEndedTargetsAreForgotten)
+{
+    (void)feed.merge(record("oldest", 5, 1, TargetState::gone), clock.now);
+    clock.advance(Milliseconds(1));
+    for (std::size_t i = 0; i < TargetFeed::maxEnded; ++i) {
+        (void)feed.merge(record(std::to_string(i).c_str(), 5, 1, TargetState::gone), clock.now);
+    }
+    (void)feed.expire(clock.now);
+    LONGS_EQUAL(TargetFeed::maxEnded, feed.size());
+    CHECK(feed.find("oldest") == nullptr);
+}
+
 TEST(TargetFeedUpdates, goneTargetsAreRemovedAfterTheirRetention)
 {
     (void)feed.merge(record("a", 5, 1, TargetState::gone), clock.now);
