Departures: one without an incarnation is confirmed only where the target is known

Change: such a departure gets 503, and the target sends it to another member.

A target that no member knows and that names no incarnation gets no confirmation; nothing can use it.

--- a/src/coordination/control/TargetRegistry.cpp
+++ b/src/coordination/control/TargetRegistry.cpp
@@ -61,6 +61,14 @@
     }
     TargetRecord announced = *record;
     const TargetRecord *current = feed_.find(announced.name);
+    // Without an incarnation it would not hold against the record that other members may have.
+    if (current == nullptr && isDeparture && record->incarnation == 0) {
+        return errorResponse(http::status::service_unavailable,
+                             makeError(ErrorKind::unavailable,
+                                       "this member does not know the target, and the departure "
+                                       "names no incarnation",
+                                       "send it to another member"));
+    }
     if (current != nullptr && isDeparture) {
         announced = *current;
         announced.state = TargetState::gone;
--- a/test/processes/test_departures.py
+++ b/test/processes/test_departures.py
@@ -2,9 +2,11 @@
 """Departures that a member has confirmed, beside kills of all processes."""
 
 import json
-import shutil
 import os
+import shutil
+import signal
 import sys
+import threading
 import time
 import unittest
 
@@ -82,6 +84,31 @@
         self.restart(wiped=0)
         self.check_leavers_stay_out()
 
+    def test_a_departure_that_names_no_incarnation_is_confirmed_only_where_the_target_is_known(self):
+        self.fleet.processes["control-2"].kill()
+        heartbeat = {"Service": "orders", "Address": "127.0.0.1:9", "Zone": "zone-0", "Slots": 2,
+                     "State": "ready", "Sequence": 1, "born": 1000}
+        self.assertEqual(self.fleet.call(self.fleet.control_addresses[0], "PUT",
+                                         TARGETS_PATH + "late", json.dumps(heartbeat))[0], 200)
+        wait_until(lambda: "late" in known_targets(self.fleet, 1), 5, "the target")
+        for name in ("control-0", "control-1"):
+            self.fleet.processes[name].signal(signal.SIGSTOP)
+        self.fleet.start_control(2)
+        wait_until(lambda: "late" not in known_targets(self.fleet, 2), 5, "the member")
+        resume = threading.Timer(0.1, self.resume_members)
+        resume.start()
+        status = self.depart("late", 2)
+        resume.join()
+        if status != 200:
+            wait_until(lambda: "late" in known_targets(self.fleet, 2), 10, "the target")
+            self.assertEqual(self.depart("late", 2), 200)
+        for member in range(3):
+            self.assertEqual(known_targets(self.fleet, member)["late"][0], "gone")
+
+    def resume_members(self):
+        for name in ("control-0", "control-1"):
+            self.fleet.processes[name].signal(signal.SIGCONT)
+
     def test_a_later_incarnation_ends_a_stored_departure(self):
         self.assertEqual(self.depart("orders-0"), 200)
         self.restart()
