--- a/test/soak/member_hunt.py
+++ b/test/soak/member_hunt.py
@@ -21,6 +21,7 @@
 
 RECOVER_S = 15.0  # the bound for reads and confirmations after the last fault
 DOCUMENT_PATH = "/kumquat/v1/document"
+FOUNDING_S = 0.05  # about how long the first writes of a group take
 SPARES = 2  # members beyond the seeds, for replacements at new addresses
 
 
@@ -163,13 +164,23 @@
         member = self.operators.put_until_confirmed(version, text, members)
         return version, text, member
 
-    def play(self, rounds, only):
+    def found(self, killed):
+        """Starts the members for the first time; if `killed`, all are killed amid it once."""
+        delays = [0] if killed else [0, 0.1, 0.3]
+        for member in self.random.sample(self.members, 3):
+            self.fleet.start_control(member, True)
+            time.sleep(self.random.choice(delays))
+        if killed:
+            time.sleep(self.random.random() * FOUNDING_S)
+            self.kill(self.members)
+            for member in self.members:
+                self.fleet.start_control(member, True)
+
+    def play(self, rounds, only, killed):
         faults = [getattr(self, name) for name in dir(self) if name.startswith("fault_")]
         faults = [fault for fault in faults if only in fault.__name__]
         try:
-            for member in self.random.sample(self.members, 3):
-                self.fleet.start_control(member, True)
-                time.sleep(self.random.choice([0, 0.1, 0.3]))
+            self.found(killed)
             self.confirm()
             for _ in range(rounds):
                 fault = self.random.choice(faults)
@@ -352,12 +363,15 @@
     parser.add_argument("--base", type=int, default=3800)
     parser.add_argument("--routes", default="1,20,1400")
     parser.add_argument("--only", default="", help="play only the faults with this in the name")
+    parser.add_argument("--kill-founding", action="store_true",
+                        help="kill all members once amid their first start")
     options = parser.parse_args()
     routes = [int(count) for count in options.routes.split(",")]
     failed = []
     for seed in range(options.seed, options.seed + options.seeds):
         print(f"seed {seed}", flush=True)
-        if Hunt(seed, options.base, routes).play(options.rounds, options.only):
+        hunt = Hunt(seed, options.base, routes)
+        if hunt.play(options.rounds, options.only, options.kill_founding):
             failed.append(seed)
     print(f"seeds with findings: {failed or 'none'}")
     return 1 if failed else 0
