Entries ask the other members when one sends no configuration files

Seen by callers: a confirmed version is in force late at an entry when the member that advertised it falls silent before it has sent the files.

Cause: polls name the wanted version as known, so that members don't advertise it again while it is fetched. After a failed fetch (900 ms) the open polls at the other members still name it; they end after up to 800 ms, and a follower holds the next one for 800 ms more before it advertises the version.

Change: when the advertising member fails, the other reachable members are asked at once, in up to three rounds; only then is the version forgotten.

Evidence: test_configuration_fetch.py, one of two stand-in members silent after its advertisement.

Ruled out: a silent idle connection to the member (none older than 1 s is reused), starvation during a storm of versions (each fetch brings the newest).

--- a/src/coordination/entry/EntryConfiguration.cpp
+++ b/src/coordination/entry/EntryConfiguration.cpp
@@ -15,8 +15,12 @@
 constexpr Milliseconds pollWait { 1'000 };
 constexpr Milliseconds pollTimeout { 1'500 };
 constexpr Milliseconds pollRetryDelay { 100 };
-/// Time limit for one member to send the files; another member will advertise the version too.
+/// Time limit for one member to send the files; then another member is asked.
 constexpr Milliseconds fetchTimeout { 900 };
+/// Between two rounds of asking the members, which may not all have the version yet.
+constexpr Milliseconds fetchRetryDelay { 100 };
+/// After this many rounds the version is forgotten until a member advertises it again.
+constexpr int maxFetchRounds = 3;
 /// Limit for the size of decompressed files.
 constexpr std::size_t maxFilesBytes = 64 * 1024 * 1024;
 
@@ -101,24 +105,46 @@
 // advertises it again. One that was fetched but is invalid is not fetched again.
 void EntryCoordinator::fetchConfiguration(Yield yield)
 {
-    while (version_ < wantedVersion_) {
+    for (int round = 1; version_ < wantedVersion_; ++round) {
         const ConfigurationVersion requested = wantedVersion_;
         const auto update = fetchConfigurationFiles(yield);
         if (update.ok()) {
             applyConfiguration(*update);
         }
-        if (version_ < requested && !(requested < wantedVersion_)) {
+        const bool hasFailed = version_ < requested && !(requested < wantedVersion_);
+        if (hasFailed && (update.ok() || round >= maxFetchRounds)) {
             wantedVersion_ = update.ok() ? wantedVersion_ : version_;
             break;
         }
+        if (hasFailed) {
+            pauseFor(loop_, fetchRetryDelay, yield);
+        }
+        round = hasFailed ? round : 0;
     }
     fetchInProgress_ = false;
 }
 
+// The members' open polls name this version as known, so no member advertises it again before they
+// end. Therefore the other members are asked at once when the one that advertised it fails.
 absl::StatusOr<ConfigurationUpdate> EntryCoordinator::fetchConfigurationFiles(Yield yield)
+{
+    const std::string advertiser = wantedVersionMember_;
+    auto update = fetchFilesFrom(advertiser, yield);
+    for (const std::string &member : feed_->reachableAddresses()) {
+        if (update.ok()) {
+            break;
+        }
+        if (member != advertiser) {
+            update = fetchFilesFrom(member, yield);
+        }
+    }
+    return update;
+}
+
+absl::StatusOr<ConfigurationUpdate> EntryCoordinator::fetchFilesFrom(const std::string &member,
+                                                                     Yield yield)
 {
     const FilesRequest wanted { wantedVersion_.epoch, wantedVersion_.number };
-    const std::string member = wantedVersionMember_;
     ++fetchCount_;
     const auto response = memberClient_.post(*parseAddress(member), wire::filesPath, pack(wanted),
                                              fetchTimeout, yield);
--- a/src/coordination/entry/EntryCoordinator.h
+++ b/src/coordination/entry/EntryCoordinator.h
@@ -85,6 +85,7 @@
     void handleAdvertisedVersion(const std::string &member, const FeedResponse &response);
     void fetchConfiguration(Yield yield);
     absl::StatusOr<ConfigurationUpdate> fetchConfigurationFiles(Yield yield);
+    absl::StatusOr<ConfigurationUpdate> fetchFilesFrom(const std::string &member, Yield yield);
     void applyConfiguration(const ConfigurationUpdate &update);
     void buildHostRoutes();
     /// Publishes a new routing table after a short delay, so that concurrent changes share one.
--- a/src/coordination/membership/ControlFeed.cpp
+++ b/src/coordination/membership/ControlFeed.cpp
@@ -60,13 +60,15 @@
     return list;
 }
 
-std::size_t ControlFeed::reachableCount() const
+std::vector<std::string> ControlFeed::reachableAddresses() const
 {
-    std::size_t count = 0;
+    std::vector<std::string> list;
     for (const auto &entry : subscriptions_) {
-        count += entry.second.reachable ? 1 : 0;
+        if (entry.second.reachable) {
+            list.push_back(entry.first);
+        }
     }
-    return count;
+    return list;
 }
 
 void ControlFeed::pollRepeatedly(const std::string &address, Yield yield)
--- a/src/coordination/membership/ControlFeed.h
+++ b/src/coordination/membership/ControlFeed.h
@@ -40,7 +40,9 @@
     void setSeeds(const std::vector<std::string> &addresses);
 
     std::vector<std::string> addresses() const;
-    std::size_t reachableCount() const;
+    /// The members that answered the latest poll.
+    std::vector<std::string> reachableAddresses() const;
+    std::size_t reachableCount() const { return reachableAddresses().size(); }
 
     /// True when a poll that began at or after \p time was answered.
     bool answeredSince(TimePoint time) const { return latestAnsweredPoll_ >= time; }
