A route is resolved with the routing table in which it was found

An entry matched a request against one routing table and then took the route's service by position from a second read of the table. Had another configuration been published between, the request went to the service at that position there, or beyond the list.

Change: a request reads the table once; RoutingTable::nextService returns null for a route whose service isn't the one that it names.

Evidence: HostRoutes, aRouteIsNotResolvedWithTheServicesOfAnotherConfiguration. Before (build/test-correctness -v -g HostRoutes): "CHECK_TRUE(after.nextService( *route) == nullptr) failed".

--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -196,13 +196,14 @@
         return false;
     }
     const auto host = caller.header()[http::field::host];
+    const auto routing = core_.routing.read();
     const ActiveRoutePtr route
-        = core_.routing.read()->matchHost({ host.data(), host.size() }, pathOf(caller.header()));
+        = routing->matchHost({ host.data(), host.size() }, pathOf(caller.header()));
     if (!route || route->configuration.kind != RequestKind::idempotent) {
         return false;
     }
-    const auto request
-        = std::make_shared<HostRouteRequest>(hostRouteRequest(caller.header(), route, start));
+    const auto request = std::make_shared<HostRouteRequest>(
+        hostRouteRequest(caller.header(), *routing, route, start));
     request->caller = caller.readAhead();
     spawnOn(loop_, [this, request](Yield inner) {
         request->request.prepare_payload();
@@ -216,32 +217,34 @@
 void EntryWorker::serveHostRoute(CallerConnection &caller, TimePoint start, Yield yield)
 {
     const auto host = caller.header()[http::field::host];
+    const auto routing = core_.routing.read();
     const ActiveRoutePtr route
-        = core_.routing.read()->matchHost({ host.data(), host.size() }, pathOf(caller.header()));
+        = routing->matchHost({ host.data(), host.size() }, pathOf(caller.header()));
     if (!route) {
         refuseBeforeRouting(caller, RefusalReason::noRoute, yield);
         return;
     }
-    HostRouteRequest request = hostRouteRequest(caller.header(), route, start);
+    HostRouteRequest request = hostRouteRequest(caller.header(), *routing, route, start);
     request.caller = caller.channel();
     if (readHostRouteBody(caller, request, yield) && !refuseIfQuarantined(request, yield)) {
         serveHostRouteRequest(request, yield);
     }
 }
 
-// The request as far as its header says; counts it.
+// The request as far as its header says; counts it. A route is resolved only with the table that it
+// was found in: another thread may have published a table with other services since.
 HostRouteRequest EntryWorker::hostRouteRequest(const http::request_header<> &header,
+                                               const RoutingTable &routing,
                                                const ActiveRoutePtr &route, TimePoint start)
 {
     const HeaderNames &names = core_.dialect->headers;
-    const auto routing = core_.routing.read();
     HostRouteRequest request { {},
                                worker_,
                                *core_.dialect,
                                route,
-                               routing->nextService(*route),
+                               routing.nextService(*route),
                                {},
-                               routing->version,
+                               routing.version,
                                start,
                                {},
                                HttpRequest(header),
--- a/src/coordination/entry/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -38,7 +38,8 @@
     bool serveReadAhead(CallerConnection &caller, TimePoint start);
     void serveHostRoute(CallerConnection &caller, TimePoint start, Yield yield);
     HostRouteRequest hostRouteRequest(const http::request_header<> &header,
-                                      const ActiveRoutePtr &route, TimePoint start);
+                                      const RoutingTable &routing, const ActiveRoutePtr &route,
+                                      TimePoint start);
     void refuseBeforeRouting(CallerConnection &caller, RefusalReason reason, Yield yield);
     bool readHostRouteBody(CallerConnection &caller, HostRouteRequest &request, Yield yield);
     bool refuseIfQuarantined(HostRouteRequest &request, Yield yield);
--- a/src/coordination/entry/RoutingTable.cpp
+++ b/src/coordination/entry/RoutingTable.cpp
@@ -69,6 +69,16 @@
     return nullptr;
 }
 
+std::shared_ptr<const ActiveService> RoutingTable::nextService(const ActiveRoute &route) const
+{
+    const std::size_t destination = route.nextDestination();
+    const std::size_t position = route.services[destination];
+    const bool isOwn = position < services.size()
+        && services[position]->configuration.name
+            == route.configuration.destinations[destination].service;
+    return isOwn ? services[position] : nullptr;
+}
+
 std::shared_ptr<const ActiveService> RoutingTable::findService(const std::string &name) const
 {
     const auto found = std::find_if(services.begin(), services.end(), [&name](const auto &service) {
--- a/src/coordination/entry/RoutingTable.h
+++ b/src/coordination/entry/RoutingTable.h
@@ -52,10 +52,9 @@
     std::shared_ptr<const HostRoutes> hostRoutes = std::make_shared<HostRoutes>();
     CallerLimits callerLimits;
 
-    const std::shared_ptr<const ActiveService> &nextService(const ActiveRoute &route) const
-    {
-        return services[route.services[route.nextDestination()]];
-    }
+    /// The service of the next request of \p route. Null when \p route is of another configuration
+    /// and its service is not the one that it names.
+    std::shared_ptr<const ActiveService> nextService(const ActiveRoute &route) const;
 
     /// Null when there is no such service.
     std::shared_ptr<const ActiveService> findService(const std::string &name) const;
--- a/test/correctness/HostRoutes.cpp
+++ b/test/correctness/HostRoutes.cpp
@@ -70,3 +70,20 @@
         LONGS_EQUAL(0, counts["s3"]);
     }
 }
+
+TEST(HostRoutes, aRouteIsNotResolvedWithTheServicesOfAnotherConfiguration)
+{
+    RoutingTable before;
+    const auto route = addRoute(before, "a.example", "/p/");
+    route->configuration.destinations = { { "s2", 1 } };
+    route->services = { 1 };
+    RoutingTable after;
+    for (const char *name : { "s1", "s3" }) {
+        auto service = std::make_shared<ActiveService>();
+        service->configuration.name = name;
+        after.services.push_back(service);
+    }
+    CHECK_TRUE(after.nextService(*route) == nullptr);
+    after.services.pop_back();
+    CHECK_TRUE(after.nextService(*route) == nullptr);
+}
--- a/test/processes/test_configuration_fetch.py
+++ b/test/processes/test_configuration_fetch.py
@@ -93,7 +93,8 @@
             self.answer_now.wait(wait)
             self.answer_now.clear()
         newer = number < self.version
-        return pack([7, 1, [], [], [], [], 1, 0, [], 1 if newer else 0, self.version if newer else 0])
+        advertised = [1, self.version] if newer else [0, 0]
+        return pack([7, 1, [], [], [], [], 1, 0, []] + advertised)
 
     def files(self):
         update = pack([1, self.version, ["@document"], [self.document]])
@@ -147,7 +148,8 @@
 
     def announce(self, members, version):
         for member in members:
-            member.document = json.dumps(document(version, [(f"/v{version}/", "safe", "catalogue")]))
+            routes = [(f"/v{version}/", "safe", "catalogue")]
+            member.document = json.dumps(document(version, routes))
             member.version = version
 
     def routes(self, version):
