Callers' and internal ports: one framing, bounded bodies, and no request that ends a process

What callers saw: a TRACE request with a body of 5 bytes ended an entry (uncaught std::invalid_argument of prepare_payload()); a body in a transfer coding other than chunked was read as the next request, which a target then ran; a chunk extension or a trailer without end took a member to 1,479 MB; Connection: Kumquatdeal-Request-Id took the ID away. Cause: the parser's view of a header was taken as it is, buffers of internal ports had no end, nothing caught what a handler throws, and names in Connection were removed whatever they were. Change: transport/RequestFraming decides for callers and internal ports whether a header can be read in one way only, else 400 and the connection closes; HttpServer bounds input that is read ahead, bodies of one request and of all, and connections; callers' and internal handlers that throw cost their own connection and are counted; headers that the system depends on are kept. Bodies of requests and of responses each take at most a quarter of the memory (memoryLimitMb, at most what the instance has); a body waits for room up to a quarter of its objective, then it is refused with 503, not run.

--- a/include/kumquat/Event.h
+++ b/include/kumquat/Event.h
@@ -48,6 +48,8 @@
     groupFormed = 406,
     diskFull = 407,
     diskWritable = 408,
+    handlerFailed = 500,
+    requestMalformed = 501,
     badDatagram = 600,
 };
 
--- a/include/kumquat/Settings.h
+++ b/include/kumquat/Settings.h
@@ -39,6 +39,7 @@
     SharedRetryBudget retryBudget;
     int threads = 2;
     int maxConnections = 4000; ///< connections of callers, over all threads
+    int memoryLimitMb = 512; ///< memory that the process may use; at most the instance's is assumed
     int stopGraceMs = 500; ///< from reporting "not ready" until the listeners close
     int stopLimitMs = 600'000; ///< then a shutdown aborts the requests that still run
 };
--- a/src/coordination/entry/Attempt.h
+++ b/src/coordination/entry/Attempt.h
@@ -3,8 +3,8 @@
 /// Runs one attempt of a request at one target and classifies its outcome.
 /// The outcome tells whether the request may have run, which decides whether it may be retried.
 
+#include "common/ByteBudget.h"
 #include "coordination/entry/RoutingTable.h"
-#include "coordination/policy/ByteBudget.h"
 #include "protocol/Dialect.h"
 #include "protocol/OnceMessages.h"
 #include "protocol/TargetConnectionPool.h"
@@ -29,15 +29,17 @@
 /// The state of one worker thread, used by that thread only; the hooks are shared.
 struct Worker
 {
-    Worker(asio::io_context &context, const EntryHooks &entryHooks, std::uint64_t seed)
-        : loop(context), pool(context), random(seed), hooks(entryHooks)
+    /// \p maxBodyBytes bounds the bodies that are held in each direction.
+    Worker(asio::io_context &context, const EntryHooks &entryHooks, std::size_t maxBodyBytes,
+           std::uint64_t seed)
+        : loop(context), pool(context), requestBytes(maxBodyBytes), responseBytes(maxBodyBytes),
+          random(seed), hooks(entryHooks)
     {
     }
     asio::io_context &loop;
-    /// Of all responses of host routes that are being read.
-    static constexpr std::size_t maxResponseBytes = 96 * 1024 * 1024;
     TargetConnectionPool pool;
-    ByteBudget responseBytes { maxResponseBytes };
+    ByteBudget requestBytes; ///< of all requests' bodies that are held
+    ByteBudget responseBytes; ///< of all responses of host routes that are being read
     Random random;
     const EntryHooks &hooks;
 };
--- a/src/coordination/entry/EntryCore.h
+++ b/src/coordination/entry/EntryCore.h
@@ -23,6 +23,7 @@
     std::atomic<bool> ready { false };
     std::atomic<int> connections { 0 };
     std::atomic<std::uint64_t> unrouted { 0 }; ///< requests that matched no route
+    std::atomic<std::uint64_t> handlerFailures { 0 }; ///< requests whose handler threw an exception
     const Dialect *dialect = &kumquatDialect();
 
     /// True while this entry's view is recent. Uses boot time, which includes suspended time.
--- a/src/coordination/entry/EntryProcess.cpp
+++ b/src/coordination/entry/EntryProcess.cpp
@@ -1,5 +1,6 @@
 #include "kumquat/EntryProcess.h"
 
+#include "common/InstanceMemory.h"
 #include "coordination/entry/EntryCoordinator.h"
 #include "coordination/entry/EntryWorker.h"
 #include "kumquat/Error.h"
@@ -77,7 +78,11 @@
 private:
     void addWorker()
     {
-        workers_.emplace_back(core_, settings_.maxConnections, randomSeed());
+        // Bodies take a quarter of the memory in each direction; the rest is for all else.
+        constexpr std::size_t directionsAndRest = 4;
+        const std::size_t bodyBytes = usableMemoryBytes(settings_.memoryLimitMb) / directionsAndRest
+            / static_cast<std::size_t>(settings_.threads);
+        workers_.emplace_back(core_, settings_.maxConnections, bodyBytes, randomSeed());
         std::vector<Address> members;
         for (const std::string &text : settings_.controlMembers) {
             members.push_back(*parseAddress(text));
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -13,6 +13,11 @@
 namespace {
 
 constexpr Milliseconds acceptRetryDelay { 20 };
+/// Between two checks whether the bodies of other requests have made room.
+constexpr Milliseconds roomCheckInterval { 10 };
+/// A body waits for room for at most its latency objective divided by this, so that a refusal
+/// leaves the caller time to retry.
+constexpr int roomWaitDivisor = 4;
 
 std::uint64_t fingerprintOf(const HttpRequest &request)
 {
@@ -30,9 +35,10 @@
 
 } // namespace
 
-EntryWorker::EntryWorker(EntryCore &core, int maxConnections, std::uint64_t seed)
+EntryWorker::EntryWorker(EntryCore &core, int maxConnections, std::size_t maxBodyBytes,
+                         std::uint64_t seed)
     : core_(core), maxConnections_(maxConnections), work_(asio::make_work_guard(loop_)),
-      worker_(loop_, core.hooks, seed), acceptor_(loop_)
+      worker_(loop_, core.hooks, maxBodyBytes, seed), acceptor_(loop_)
 {
 }
 
@@ -101,11 +107,18 @@
     CallerHooks hooks;
     hooks.isStopping = [this] { return core_.stopping.load(); };
     hooks.limits = [this] { return core_.routing.read()->callerLimits; };
+    hooks.handlerFailed = [this](const char *what) { reportFailure(what); };
     caller->serve([this](CallerConnection &connection, Yield inner) { handle(connection, inner); },
                   std::move(hooks), yield);
     callers_.erase(caller);
 }
 
+void EntryWorker::reportFailure(const char *what)
+{
+    ++core_.handlerFailures;
+    logEvent(Event::handlerFailed, LogLevel::error, "{}", what);
+}
+
 void EntryWorker::handle(CallerConnection &caller, Yield yield)
 {
     const TimePoint start = Clock::now();
@@ -166,7 +179,8 @@
         return;
     }
     const std::uint64_t answeredBefore = runtime.counters.answered.load();
-    if (readRequest(call, match.kind, yield)) {
+    HeldBytes held(worker_.requestBytes);
+    if (readRequest(call, match.kind, held, yield)) {
         switch (match.kind) {
         case RequestKind::idempotent:
             serveIdempotent(call, yield);
@@ -205,9 +219,14 @@
         = std::make_shared<HostRouteRequest>(hostRouteRequest(caller.header(), route, start));
     request->caller = caller.readAhead();
     spawnOn(loop_, [this, request](Yield inner) {
-        request->request.prepare_payload();
-        if (!refuseIfQuarantined(*request, inner)) {
-            serveHostRouteRequest(*request, inner);
+        try {
+            request->request.prepare_payload();
+            if (!refuseIfQuarantined(*request, inner)) {
+                serveHostRouteRequest(*request, inner);
+            }
+        } catch (const std::exception &exception) {
+            reportFailure(exception.what());
+            request->caller.abort();
         }
     });
     return true;
@@ -224,7 +243,8 @@
     }
     HostRouteRequest request = hostRouteRequest(caller.header(), route, start);
     request.caller = caller.channel();
-    if (readHostRouteBody(caller, request, yield) && !refuseIfQuarantined(request, yield)) {
+    HeldBytes held(worker_.requestBytes);
+    if (readHostRouteBody(caller, request, held, yield) && !refuseIfQuarantined(request, yield)) {
         serveHostRouteRequest(request, yield);
     }
 }
@@ -250,7 +270,11 @@
     request.currentService = [this, name = request.service->configuration.name] {
         return core_.routing.read()->findService(name);
     };
-    removeHopByHop(request.request);
+    removeHopByHop(request.request, endToEndHeaders(names));
+    if (!request.requestId.empty()) {
+        // Repeated headers could name another request to the target than they do here.
+        request.request.set(names.requestId, request.requestId);
+    }
     const Milliseconds timeout = route->configuration.timeout;
     request.deadline
         = start + std::min(timeout, readDeadline(header, names.deadline).value_or(timeout));
@@ -280,15 +304,35 @@
     return true;
 }
 
+// While a body waits, its caller is held back by the connection's flow control.
+void EntryWorker::waitForRoom(std::size_t bytes, HeldBytes &held, TimePoint until, Yield yield)
+{
+    while (!held.growTo(bytes) && Clock::now() < until) {
+        pauseFor(loop_, roomCheckInterval, yield);
+    }
+}
+
 bool EntryWorker::readHostRouteBody(CallerConnection &caller, HostRouteRequest &request,
-                                    Yield yield)
+                                    HeldBytes &held, Yield yield)
 {
     const auto limit = static_cast<std::size_t>(core_.routing.read()->callerLimits.maxBodyBytes);
-    const ErrorCode error = caller.readBody(request.request.body(), limit, request.deadline, yield);
+    const auto length = static_cast<std::size_t>(caller.contentLength().value_or(0));
+    if (length <= limit) {
+        const TimePoint until
+            = Clock::now() + request.route->configuration.latencyObjective / roomWaitDivisor;
+        waitForRoom(length, held, std::min(until, request.deadline), yield);
+    }
+    const ErrorCode error = caller.readBody(
+        request.request.body(), limit, [&held](std::size_t bytes) { return held.growTo(bytes); },
+        request.deadline, yield);
     if (error == http::error::body_limit) {
         refuseHostRoute(request, RefusalReason::requestTooLarge, yield);
         return false;
     }
+    if (error == asio::error::no_memory) {
+        refuseHostRoute(request, RefusalReason::overloaded, yield);
+        return false;
+    }
     if (error) {
         ++request.service->runtime->counters.callerDisconnects;
         request.caller.abort();
@@ -300,7 +344,7 @@
 
 // Reads and checks the request, except an upload's body. Returns false when the request was refused
 // or the caller disconnected.
-bool EntryWorker::readRequest(Call &call, RequestKind kind, Yield yield)
+bool EntryWorker::readRequest(Call &call, RequestKind kind, HeldBytes &held, Yield yield)
 {
     call.request = HttpRequest(forwardedHeader(call.caller.header(), call.deadline));
     if (kind == RequestKind::upload) {
@@ -312,9 +356,13 @@
         return false;
     }
     const auto limit = static_cast<std::size_t>(call.service->configuration.maxRequestBytes);
-    const ErrorCode error = call.caller.readBody(call.request.body(), limit, call.deadline, yield);
-    if (error == http::error::body_limit) {
-        refuse(call, RefusalReason::requestTooLarge, RunOutcome::notRun, yield);
+    const ErrorCode error = call.caller.readBody(
+        call.request.body(), limit, [&held](std::size_t bytes) { return held.growTo(bytes); },
+        call.deadline, yield);
+    if (error == http::error::body_limit || error == asio::error::no_memory) {
+        const bool isTooLarge = error == http::error::body_limit;
+        refuse(call, isTooLarge ? RefusalReason::requestTooLarge : RefusalReason::overloaded,
+               RunOutcome::notRun, yield);
         return false;
     }
     if (error) {
--- a/src/coordination/entry/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -17,7 +17,8 @@
 class EntryWorker
 {
 public:
-    EntryWorker(EntryCore &core, int maxConnections, std::uint64_t seed);
+    /// \p maxBodyBytes bounds the bodies that are held in each direction.
+    EntryWorker(EntryCore &core, int maxConnections, std::size_t maxBodyBytes, std::uint64_t seed);
 
     absl::Status listen(const Address &address);
     void start();
@@ -40,10 +41,13 @@
     HostRouteRequest hostRouteRequest(const http::request_header<> &header,
                                       const ActiveRoutePtr &route, TimePoint start);
     void refuseBeforeRouting(CallerConnection &caller, RefusalReason reason, Yield yield);
-    bool readHostRouteBody(CallerConnection &caller, HostRouteRequest &request, Yield yield);
+    bool readHostRouteBody(CallerConnection &caller, HostRouteRequest &request, HeldBytes &held,
+                           Yield yield);
+    void waitForRoom(std::size_t bytes, HeldBytes &held, TimePoint until, Yield yield);
+    void reportFailure(const char *what);
     bool refuseIfQuarantined(HostRouteRequest &request, Yield yield);
     void refuseHostRoute(HostRouteRequest &request, RefusalReason reason, Yield yield);
-    bool readRequest(Call &call, RequestKind kind, Yield yield);
+    bool readRequest(Call &call, RequestKind kind, HeldBytes &held, Yield yield);
 
     EntryCore &core_;
     const int maxConnections_;
--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -367,7 +367,7 @@
                  route_.name, lastTarget(), response.result_int(),
                  static_cast<int>(toMilliseconds(elapsed)), attemptsStarted_);
     }
-    removeHopByHop(response);
+    removeHopByHop(response, endToEndHeaders(request_.dialect.headers));
     ++runtime_.counters.answered;
     runtime_.latency.record(elapsed);
     responded_ = true;
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -1,6 +1,8 @@
 #include "protocol/CallerConnection.h"
 
+#include "kumquat/Event.h"
 #include "protocol/Refusal.h"
+#include "transport/RequestFraming.h"
 #include "transport/Spawn.h"
 
 #include <array>
@@ -39,7 +41,9 @@
             break;
         }
         reusable_ = false;
-        handler(*this, yield);
+        if (!runHandler(handler, yield)) {
+            break;
+        }
         stopWatching();
     } while (reusable_ && keepsAlive());
     (void)awaitResponses(yield);
@@ -51,6 +55,33 @@
     stream_.close();
 }
 
+// What one request makes its handler throw must not end the process, which serves others too.
+bool CallerConnection::runHandler(const Handler &handler, Yield yield)
+{
+    responseStarted_ = false;
+    std::string failure;
+    try {
+        handler(*this, yield);
+        return true;
+    } catch (const std::exception &exception) {
+        failure = exception.what();
+    }
+    failHandler(failure.c_str(), yield);
+    return false;
+}
+
+void CallerConnection::failHandler(const char *what, Yield yield)
+{
+    hooks_.handlerFailed(what);
+    stopWatching();
+    if (responseStarted_ || !awaitResponses(yield)) {
+        abort();
+        return;
+    }
+    closing_ = true;
+    (void)writeResponse(refusal(RefusalReason::internalError, RunOutcome::unknown), yield);
+}
+
 // Closing a socket with unread input sends a reset, which may discard the response before the
 // caller has read it.
 void CallerConnection::discardInput(Yield yield)
@@ -122,7 +153,18 @@
     } else if (error) {
         responses_.disconnect();
     }
-    return !error;
+    return !error && !rejectAmbiguous(yield);
+}
+
+bool CallerConnection::rejectAmbiguous(Yield yield)
+{
+    const char *ambiguity = ambiguityOf(header(), hasBody());
+    if (ambiguity == nullptr) {
+        return false;
+    }
+    logEvent(Event::requestMalformed, LogLevel::warning, "cause=\"{}\"", ambiguity);
+    rejectMalformed({}, yield);
+    return true;
 }
 
 void CallerConnection::rejectMalformed(ErrorCode error, Yield yield)
@@ -150,16 +192,26 @@
     return error;
 }
 
-ErrorCode CallerConnection::readBody(std::string &body, std::size_t limit, TimePoint deadline,
-                                     Yield yield)
+ErrorCode CallerConnection::readBody(std::string &body, std::size_t limit, const MayHold &mayHold,
+                                     TimePoint deadline, Yield yield)
 {
-    if (contentLength().value_or(0) > limit) {
+    const auto length = static_cast<std::size_t>(contentLength().value_or(0));
+    if (length > limit) {
         return http::error::body_limit;
     }
+    if (!mayHold(length)) {
+        return asio::error::no_memory;
+    }
+    body.reserve(length + 1);
     ErrorCode error = sendContinueIfExpected(yield);
     while (!error && !parser_->is_done()) {
         const std::size_t before = body.size();
-        body.resize(std::min(limit + 1, before + bodyPartBytes));
+        const std::size_t next = std::min(limit + 1, before + bodyPartBytes);
+        // A string that grows doubles its memory.
+        if (next > body.capacity() && !mayHold(2 * body.capacity())) {
+            return asio::error::no_memory;
+        }
+        body.resize(length > 0 ? std::min(next, length + 1) : next);
         parser_->get().body().data = body.data() + before;
         parser_->get().body().size = body.size() - before;
         stream_.expires_at(deadline);
@@ -208,6 +260,7 @@
 ErrorCode CallerConnection::writeMessage(HttpResponse &response, bool isHeadRequest, Yield yield)
 {
     ErrorCode error;
+    responseStarted_ = true;
     response.version(11);
     if (isHeadRequest) {
         response.content_length(response.body().size());
@@ -324,6 +377,7 @@
                                         std::optional<std::uint64_t> length, Yield yield)
 {
     stopWatching();
+    responseStarted_ = true;
     streamedResponse_.emplace(std::move(responseHeader));
     streamedResponse_->version(11);
     if (length) {
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -20,6 +20,8 @@
     /// While true, responses close the connection, so that callers connect to another entry.
     std::function<bool()> isStopping;
     std::function<CallerLimits()> limits; ///< of the configuration in force, for each request
+    /// Called with the cause when a request's handler threw an exception.
+    std::function<void(const char *what)> handlerFailed;
 };
 
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
@@ -51,8 +53,13 @@
     /// any other way of answering. False when the connection ended or was closed by one of them.
     bool awaitResponses(Yield yield);
 
-    /// Reads the whole body; fails with http::error::body_limit when it exceeds \p limit bytes.
-    ErrorCode readBody(std::string &body, std::size_t limit, TimePoint deadline, Yield yield);
+    /// Asked before a body grows to so many bytes in memory; false refuses the growth.
+    using MayHold = std::function<bool(std::size_t bytes)>;
+
+    /// Reads the whole body; fails with http::error::body_limit when it exceeds \p limit bytes, and
+    /// with asio::error::no_memory when \p mayHold refuses.
+    ErrorCode readBody(std::string &body, std::size_t limit, const MayHold &mayHold,
+                       TimePoint deadline, Yield yield);
 
     /// Reads the next part of the body; fails when none arrives within \p idleTimeout.
     ErrorCode readSomeBody(std::string &part, Milliseconds idleTimeout, Yield yield);
@@ -78,6 +85,9 @@
     ErrorCode sendContinueIfExpected(Yield yield);
     void watch();
     void rejectMalformed(ErrorCode error, Yield yield);
+    bool rejectAmbiguous(Yield yield);
+    bool runHandler(const Handler &handler, Yield yield);
+    void failHandler(const char *what, Yield yield);
     void discardInput(Yield yield);
     bool hasPendingResponses() const { return !responses_.isEmpty() || isSending_; }
     void waitForRoom(Yield yield);
@@ -103,6 +113,7 @@
     bool isSending_ = false; ///< a response from the queue is being written
     bool wasPipelined_ = false;
     bool idle_ = false; ///< waiting for the first bytes of a request
+    bool responseStarted_ = false; ///< part of a response to the present request may have been sent
     bool reusable_ = false; ///< the last response was sent whole and keeps the connection
     bool closing_ = false;
     bool continueSent_ = false;
--- a/src/protocol/Dialect.cpp
+++ b/src/protocol/Dialect.cpp
@@ -6,6 +6,18 @@
 
 namespace kumquat {
 
+std::vector<std::string> endToEndHeaders(const HeaderNames &names)
+{
+    std::vector<std::string> headers;
+    for (const std::string &name : { names.deadline, names.requestId, names.expectedTarget,
+                                     names.respondingTarget, names.responseStamp }) {
+        if (!name.empty()) {
+            headers.push_back(name);
+        }
+    }
+    return headers;
+}
+
 const Dialect &kumquatDialect()
 {
     static const Dialect dialect = [] {
--- a/src/protocol/Dialect.h
+++ b/src/protocol/Dialect.h
@@ -19,6 +19,9 @@
     std::string responseStamp; ///< present only in responses that a target produced
 };
 
+/// The headers that are passed on whatever a `Connection` header says.
+std::vector<std::string> endToEndHeaders(const HeaderNames &names);
+
 struct Dialect
 {
     HeaderNames headers;
--- a/src/protocol/Headers.cpp
+++ b/src/protocol/Headers.cpp
@@ -13,6 +13,14 @@
 constexpr std::size_t maxKeyLength = 128;
 constexpr std::int64_t maxDeadlineMs = 86'400'000;
 
+// Removing one of these would change which request is meant, or run a booking without its key.
+bool isDependedOn(const std::string &name, const std::vector<std::string> &kept)
+{
+    const auto matches = [&name](const std::string &other) { return beast::iequals(name, other); };
+    return matches("Host") || matches(wire::idempotencyKey)
+        || std::any_of(kept.begin(), kept.end(), matches);
+}
+
 std::string_view valueOf(const http::fields &fields, const char *name)
 {
     const auto value = fields[name];
@@ -21,14 +29,19 @@
 
 } // namespace
 
-void removeHopByHop(http::fields &fields)
+void removeHopByHop(http::fields &fields, const std::vector<std::string> &kept)
 {
     std::vector<std::string> listed;
-    for (const auto &token : http::token_list(fields[http::field::connection])) {
-        listed.emplace_back(token);
+    const auto connection = fields.equal_range(http::field::connection);
+    for (auto field = connection.first; field != connection.second; ++field) {
+        for (const auto &token : http::token_list(field->value())) {
+            listed.emplace_back(token);
+        }
     }
     for (const std::string &name : listed) {
-        fields.erase(name);
+        if (!isDependedOn(name, kept)) {
+            fields.erase(name);
+        }
     }
     fields.erase(http::field::connection);
     fields.erase(http::field::keep_alive);
--- a/src/protocol/Headers.h
+++ b/src/protocol/Headers.h
@@ -10,8 +10,9 @@
 
 namespace kumquat {
 
-/// Removes hop-by-hop headers (RFC 9110, 7.6.1), including those of length and framing.
-void removeHopByHop(http::fields &fields);
+/// Removes hop-by-hop headers (RFC 9110, 7.6.1), including those of length and framing. A
+/// `Connection` header cannot remove the names in \p kept, which the system itself depends on.
+void removeHopByHop(http::fields &fields, const std::vector<std::string> &kept = {});
 
 /// The milliseconds in the header \p name, at most a day; nothing when it is malformed.
 std::optional<Milliseconds> readDeadline(const http::fields &fields, const std::string &name);
--- a/src/protocol/Refusal.cpp
+++ b/src/protocol/Refusal.cpp
@@ -41,6 +41,8 @@
         { "target-failed", http::status::bad_gateway, "1", "send it again" },
         { "outcome-unknown", http::status::gateway_timeout, "2",
           "send it again with the same Idempotency-Key to learn the outcome" },
+        { "internal-error", http::status::internal_server_error, nullptr,
+          "report it with the time and the request's ID" },
     };
     return texts[static_cast<int>(reason)];
 }
--- a/src/protocol/Refusal.h
+++ b/src/protocol/Refusal.h
@@ -24,9 +24,10 @@
     quarantined,
     targetFailed,
     outcomeUnknown,
+    internalError,
 };
 
-constexpr int refusalReasonCount = 15;
+constexpr int refusalReasonCount = 16;
 
 /// Whether a target ran the refused request.
 enum class RunOutcome {
--- a/src/protocol/Settings.cpp
+++ b/src/protocol/Settings.cpp
@@ -161,6 +161,8 @@
     settings.threads = static_cast<int>(object.integer("threads", 1, 64, settings.threads));
     settings.maxConnections
         = static_cast<int>(object.integer("maxConnections", 1, 100'000, settings.maxConnections));
+    settings.memoryLimitMb
+        = static_cast<int>(object.integer("memoryLimitMb", 32, 1'000'000, settings.memoryLimitMb));
     settings.stopGraceMs
         = static_cast<int>(object.integer("stopGraceMs", 0, 60'000, settings.stopGraceMs));
     settings.stopLimitMs
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -1,6 +1,8 @@
 #include "transport/HttpServer.h"
 
 #include "kumquat/Error.h"
+#include "kumquat/Event.h"
+#include "transport/RequestFraming.h"
 #include "transport/Spawn.h"
 
 #include <sys/socket.h>
@@ -10,12 +12,21 @@
 namespace {
 
 constexpr std::size_t maxHeaderBytes = 16 * 1024;
-constexpr std::size_t maxBodyBytes = 64 * 1024 * 1024;
+/// Input that is read ahead of the parser; chunk extensions and trailers must fit into it.
+constexpr std::size_t readAheadBytes = 64 * 1024;
+/// Peers reuse connections that have been idle for much less.
+constexpr std::chrono::seconds idleTimeout { 60 };
 constexpr std::chrono::seconds requestReadTimeout { 30 };
 constexpr std::chrono::seconds responseWriteTimeout { 30 };
 /// After a failed accept, for example when the process has no file descriptor left.
 constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
 
+bool isMalformed(ErrorCode error)
+{
+    return error != http::error::end_of_stream
+        && error.category() == ErrorCode(http::error::bad_method).category();
+}
+
 } // namespace
 
 HttpResponse textResponse(http::status status, std::string body, const char *contentType)
@@ -47,8 +58,9 @@
     return absl::OkStatus();
 }
 
-HttpServer::HttpServer(asio::io_context &context, HttpHandler handler)
-    : context_(context), handler_(std::move(handler)), acceptor_(context)
+HttpServer::HttpServer(asio::io_context &context, HttpHandler handler, HttpServerLimits limits)
+    : context_(context), handler_(std::move(handler)), limits_(std::move(limits)),
+      bodyBytes_(limits_.totalBodyBytes), acceptor_(context)
 {
 }
 
@@ -84,6 +96,9 @@
             }
             continue;
         }
+        if (connections_ >= limits_.connections) {
+            continue;
+        }
         stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
         spawnOn(context_, [self = shared_from_this(), stream](Yield inner) {
             self->serveConnection(stream, inner);
@@ -93,36 +108,121 @@
 
 void HttpServer::serveConnection(const std::shared_ptr<TcpStream> &stream, Yield yield)
 {
-    beast::flat_buffer buffer;
+    ++connections_;
+    beast::flat_buffer buffer(maxHeaderBytes + readAheadBytes);
+    while (!stopping_ && serveRequest(stream, buffer, yield)) { }
+    ErrorCode ignored;
+    stream->socket().shutdown(TcpSocket::shutdown_send, ignored);
+    --connections_;
+}
+
+// Returns true when the connection may carry another request.
+bool HttpServer::serveRequest(const std::shared_ptr<TcpStream> &stream, beast::flat_buffer &buffer,
+                              Yield yield)
+{
+    Parser parser;
+    const ErrorCode error = readHeader(stream, buffer, parser, yield);
+    if (error) {
+        if (isMalformed(error)) {
+            refuse(*stream, http::status::bad_request, yield);
+        }
+        return false;
+    }
+    if (ambiguityOf(parser.get(), !parser.is_done()) != nullptr) {
+        refuse(*stream, http::status::bad_request, yield);
+        return false;
+    }
+    HeldBytes held(bodyBytes_);
+    if (const auto refused = readBody(*stream, buffer, parser, held, yield)) {
+        refuse(*stream, *refused, yield);
+        return false;
+    }
+    const HttpRequest request = parser.release();
+    stream->expires_never();
+    HttpResponse response = handle(request, yield);
+    const bool keepAlive = request.keep_alive() && !stopping_;
+    return write(*stream, std::move(response), keepAlive, yield);
+}
+
+ErrorCode HttpServer::readHeader(const std::shared_ptr<TcpStream> &stream,
+                                 beast::flat_buffer &buffer, Parser &parser, Yield yield)
+{
     ErrorCode error;
-    while (!stopping_) {
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(maxHeaderBytes);
-        parser.body_limit(maxBodyBytes);
-        idleStreams_.insert(stream);
-        stream->expires_never();
-        http::async_read_header(*stream, buffer, parser, yield[error]);
-        idleStreams_.erase(stream);
-        if (!error) {
-            stream->expires_after(requestReadTimeout);
-            http::async_read(*stream, buffer, parser, yield[error]);
+    parser.header_limit(maxHeaderBytes);
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    idleStreams_.insert(stream);
+    stream->expires_after(idleTimeout);
+    http::async_read_header(*stream, buffer, parser, yield[error]);
+    idleStreams_.erase(stream);
+    return error;
+}
+
+// Returns the status of a refusal, or nothing when the body was read. A body whose length is known
+// is refused before any of it is read.
+std::optional<http::status> HttpServer::readBody(TcpStream &stream, beast::flat_buffer &buffer,
+                                                 Parser &parser, HeldBytes &held, Yield yield)
+{
+    const std::size_t limit = limits_.bodyBytes(parser.get());
+    ErrorCode error;
+    stream.expires_after(requestReadTimeout);
+    while (true) {
+        const std::size_t bytes = parser.get().body().size();
+        const auto remaining = parser.content_length_remaining();
+        const std::size_t expected = bytes + static_cast<std::size_t>(remaining.value_or(0));
+        if (remaining.value_or(0) > limit || expected > limit) {
+            return http::status::payload_too_large;
+        }
+        if (!held.growTo(expected)) {
+            return http::status::service_unavailable;
+        }
+        if (parser.is_done()) {
+            return std::nullopt;
         }
+        http::async_read_some(stream, buffer, parser, yield[error]);
         if (error) {
-            break;
+            return http::status::bad_request;
         }
-        const HttpRequest request = parser.release();
-        stream->expires_never();
+    }
+}
+
+// What a request makes its handler throw must not end the process, which serves others too.
+HttpResponse HttpServer::handle(const HttpRequest &request, Yield yield)
+{
+    try {
         HttpResponse response = handler_(request, yield);
-        response.version(11);
-        response.keep_alive(request.keep_alive() && !stopping_);
         response.prepare_payload();
-        stream->expires_after(responseWriteTimeout);
-        http::async_write(*stream, response, yield[error]);
-        if (error || !response.keep_alive()) {
-            break;
-        }
+        return response;
+    } catch (const std::exception &exception) {
+        ++counters_.handlerFailures;
+        logEvent(Event::handlerFailed, LogLevel::error, "path={} {}", std::string(request.target()),
+                 exception.what());
+        HttpResponse response = textResponse(http::status::internal_server_error,
+                                             "{\"error\":\"internal error; see the log\"}\n");
+        response.keep_alive(false);
+        response.prepare_payload();
+        return response;
     }
-    stream->socket().shutdown(TcpSocket::shutdown_send, error);
+}
+
+void HttpServer::refuse(TcpStream &stream, http::status status, Yield yield)
+{
+    const bool isSize = status != http::status::bad_request;
+    ++(isSize ? counters_.oversizedRequests : counters_.malformedRequests);
+    const char *remedy = isSize ? "the body is too long; send less, or later"
+                                : "the request is malformed; send well-formed HTTP/1.1";
+    HttpResponse response = textResponse(status, std::string("{\"error\":\"") + remedy + "\"}\n");
+    response.prepare_payload();
+    (void)write(stream, std::move(response), false, yield);
+}
+
+bool HttpServer::write(TcpStream &stream, HttpResponse response, bool keepAlive, Yield yield)
+{
+    ErrorCode error;
+    response.version(11);
+    response.keep_alive(keepAlive && response.result() != http::status::internal_server_error);
+    stream.expires_after(responseWriteTimeout);
+    http::async_write(stream, response, yield[error]);
+    return !error && response.keep_alive();
 }
 
 } // namespace kumquat
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -4,10 +4,12 @@
 /// It reads and writes complete messages of limited size; callers' requests go through
 /// protocol/CallerConnection instead.
 
+#include "common/ByteBudget.h"
 #include "transport/Address.h"
 #include "transport/Asio.h"
 
 #include <absl/status/status.h>
+#include <optional>
 #include <set>
 
 namespace kumquat {
@@ -18,6 +20,28 @@
 /// Returns the response to one request; may suspend the coroutine through the yield context.
 using HttpHandler = std::function<HttpResponse(const HttpRequest &, Yield)>;
 
+/// Limits on what the peers of a server can make it hold.
+struct HttpServerLimits
+{
+    /// The longest body of a request with this header, in bytes.
+    std::function<std::size_t(const http::request_header<> &)> bodyBytes
+        = [](const http::request_header<> &) { return defaultBodyBytes; };
+    std::size_t totalBodyBytes = defaultTotalBodyBytes; ///< of all requests that are being served
+    std::size_t connections = defaultConnections;
+
+    static constexpr std::size_t defaultBodyBytes = 1024 * 1024;
+    static constexpr std::size_t defaultTotalBodyBytes = 64 * 1024 * 1024;
+    static constexpr std::size_t defaultConnections = 2'000;
+};
+
+/// What a server has refused or cut, for metrics.
+struct HttpServerCounters
+{
+    std::uint64_t malformedRequests = 0;
+    std::uint64_t oversizedRequests = 0;
+    std::uint64_t handlerFailures = 0; ///< the handler threw an exception
+};
+
 HttpResponse textResponse(http::status status, std::string body,
                           const char *contentType = "application/json");
 
@@ -28,19 +52,38 @@
 class HttpServer : public std::enable_shared_from_this<HttpServer>
 {
 public:
-    HttpServer(asio::io_context &context, HttpHandler handler);
+    HttpServer(asio::io_context &context, HttpHandler handler, HttpServerLimits limits = {});
 
     absl::Status listen(const Address &address);
 
     /// Stops accepting and closes connections that wait for a request.
     void stop();
 
+    const HttpServerCounters &counters() const { return counters_; }
+    /// The port that the server listens on.
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
 private:
+    using Parser = http::request_parser<http::string_body>;
+
     void acceptConnections(Yield yield);
     void serveConnection(const std::shared_ptr<TcpStream> &stream, Yield yield);
+    bool serveRequest(const std::shared_ptr<TcpStream> &stream, beast::flat_buffer &buffer,
+                      Yield yield);
+    ErrorCode readHeader(const std::shared_ptr<TcpStream> &stream, beast::flat_buffer &buffer,
+                         Parser &parser, Yield yield);
+    std::optional<http::status> readBody(TcpStream &stream, beast::flat_buffer &buffer,
+                                         Parser &parser, HeldBytes &held, Yield yield);
+    HttpResponse handle(const HttpRequest &request, Yield yield);
+    void refuse(TcpStream &stream, http::status status, Yield yield);
+    bool write(TcpStream &stream, HttpResponse response, bool keepAlive, Yield yield);
 
     asio::io_context &context_;
     HttpHandler handler_;
+    const HttpServerLimits limits_;
+    ByteBudget bodyBytes_;
+    HttpServerCounters counters_;
+    std::size_t connections_ = 0;
     TcpAcceptor acceptor_;
     std::set<std::shared_ptr<TcpStream>> idleStreams_;
     bool stopping_ = false;
