Host routes: a refusal proves something only about the request that it names

Callers saw (reported by operators of a similar system): "not run, try again" for requests that a target had run or was running, or such a request ran at a second target, when a target wrote an earlier refusal once more on a kept connection.

Cause: a response that isn't a success and echoes no request ID was taken for the response to the present request, and its not-executed header for a proof. Refusals without an ID occur on sound targets as well: a load probe carries no ID and shares the connections with requests. An error without an ID was passed on in the same way. Two more of this class: a success with a not-executed header counted as a proof, and a request without an ID took any refusal of a reused connection.

Change: only a refusal that echoes the request's ID is a proof. A response without an ID is skipped like one with another ID if the connection has carried another request, and the connection isn't used again after the exchange; on a new connection it may be an error, never a proof. A request without an ID goes on a new connection, where the place is the proof. A success is no proof. The load that a skipped response reports is no longer recorded with a failed exchange.

--- a/src/coordination/entry/HostRouteExchange.cpp
+++ b/src/coordination/entry/HostRouteExchange.cpp
@@ -56,13 +56,16 @@
     ErrorCode readMatchingResponse(Yield yield);
     ErrorCode readResponse(Yield yield);
     ErrorCode readWholeBody(std::string &body, Yield yield);
+    bool echoesRequestId() const;
     bool matchesRequest() const;
+    void noteSkipped();
     void classify(ErrorCode error);
     void releaseConnection(Yield yield);
 
     ExchangeRequest &request_;
     std::unique_ptr<TargetConnection> connection_;
     std::shared_ptr<ConcurrentSend> concurrentSend_; ///< null unless the body is long
+    bool skippedUnnamed_ = false; ///< a response without a request ID was skipped
     ExchangeResult result_;
 };
 
@@ -71,6 +74,8 @@
     AttemptOptions options;
     options.deadline = std::min(request_.deadline, Clock::now() + connectTimeout);
     options.maxIdle = request_.idempotent ? idempotentMaxIdle : singleRunMaxIdle;
+    // Only its place shows which request a response without an ID answers.
+    options.requireNewConnection = request_.requestId.empty();
     return connectTo(request_.worker, *request_.target, options, request_.handle, yield);
 }
 
@@ -98,15 +103,23 @@
     return {};
 }
 
+bool Exchange::echoesRequestId() const
+{
+    const auto &header = connection_->header();
+    const auto echoed = header.find(request_.dialect.headers.requestId);
+    return echoed != header.end() && std::string(echoed->value()) == request_.requestId;
+}
+
+// A target may write a response once more on a connection that is in use again, also one without an
+// ID (to a load probe, say). So an error without an ID belongs to this request only if the
+// connection has carried no other.
 bool Exchange::matchesRequest() const
 {
-    const HeaderNames &names = request_.dialect.headers;
     const auto &header = connection_->header();
-    const auto echoed = header.find(names.requestId);
-    if (echoed != header.end()) {
-        return std::string(echoed->value()) == request_.requestId;
+    if (header.find(request_.dialect.headers.requestId) != header.end()) {
+        return echoesRequestId();
     }
-    return !isSuccess(connection_->header().result_int());
+    return !isSuccess(header.result_int()) && connection_->isFirstExchange();
 }
 
 ErrorCode Exchange::readResponse(Yield yield)
@@ -144,15 +157,22 @@
     return error;
 }
 
+void Exchange::noteSkipped()
+{
+    const std::string &name = request_.dialect.headers.requestId;
+    skippedUnnamed_ = skippedUnnamed_ || connection_->header().count(name) == 0;
+    logEvent(Event::responseRejected, LogLevel::warning,
+             "request={} target={} status={} skipped: it answers another request",
+             request_.requestId, request_.target->record.name, result_.response.result_int());
+}
+
 // Skips late duplicate responses to earlier requests on the same connection.
 ErrorCode Exchange::readMatchingResponse(Yield yield)
 {
     ErrorCode error = readResponse(yield);
     for (int mismatched = 0; !error && !matchesRequest() && mismatched < maxMismatchedResponses;
          ++mismatched) {
-        logEvent(Event::responseRejected, LogLevel::warning,
-                 "request={} target={} status={} skipped: it answers another request",
-                 request_.requestId, request_.target->record.name, result_.response.result_int());
+        noteSkipped();
         error = readResponse(yield);
     }
     if (!error && !matchesRequest()) {
@@ -166,6 +186,7 @@
     const HeaderNames &names = request_.dialect.headers;
     result_.silent = !connection_->hasResponseBytes();
     if (error) {
+        result_.response = {}; // A skipped one reports the load of an earlier time.
         const bool late = error == beast::error::timeout || error == asio::error::operation_aborted;
         result_.outcome = late ? ExchangeOutcome::timedOut : ExchangeOutcome::failed;
         result_.reset
@@ -175,8 +196,12 @@
     }
     const unsigned status = result_.response.result_int();
     if (request_.dialect.provesNotRun(status, result_.response)) {
-        result_.outcome = ExchangeOutcome::notRun;
-        result_.misdirected = status == misdirectedRequest;
+        // A refusal proves something about the request that it names, and none about another. A
+        // success that claims not to have run contradicts itself.
+        const bool named = request_.requestId.empty() || echoesRequestId();
+        const bool proven = named && !isSuccess(status);
+        result_.outcome = proven ? ExchangeOutcome::notRun : ExchangeOutcome::failed;
+        result_.misdirected = proven && status == misdirectedRequest;
         return;
     }
     const bool hasRequiredStamp = names.responseStamp.empty()
@@ -199,7 +224,7 @@
     }
     const bool ended = result_.outcome == ExchangeOutcome::completed
         || result_.outcome == ExchangeOutcome::notRun;
-    if (ended && sentWhole && connection_->isReusable()) {
+    if (ended && sentWhole && !skippedUnnamed_ && connection_->isReusable()) {
         request_.worker.pool.giveBack(std::move(connection_));
     }
 }
