Host routes: pass on no 408, 421 or 429 of a target that isn't a proof

Callers would see "not run, and never will" (408, 429) for a request that may have run: statuses below 500 were passed on as they came, while the guard against unproven promises was asked only for the others (503). A target's own 429 without the not-executed header says nothing about whether it ran the request.

Evidence: `test-correctness -g UnprovenPromises -n aStatusThatPromises` on the code before: "408 became 408". Change: the guard covers every status; an idempotent request may be sent to another target, the caller of any other gets 502. After: the test passes for 408, 429 and 503.

--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -275,7 +275,8 @@
     }
     possibleRuns_ += provesNotRun(result.outcome) ? 0 : 1;
     const bool completed = result.outcome == ExchangeOutcome::completed;
-    if (completed && result.response.result_int() < firstServerError) {
+    if (completed && result.response.result_int() < firstServerError
+        && !impliesNotRun(result.response.result_int())) {
         sendResponse(std::move(result.response), yield);
         return true;
     }
--- a/test/correctness/UnprovenPromises.cpp
+++ b/test/correctness/UnprovenPromises.cpp
@@ -79,6 +79,20 @@
     }
 };
 
+TEST(UnprovenPromises, aStatusThatPromisesWithoutProofIsNotPassedOn)
+{
+    for (const std::string promise : { "408", "429", "503" }) {
+        LoopbackTarget server(loop, [promise](int, const std::string &header) {
+            return ResponseScript { { responseTo(requestIdIn(header), promise, "") } };
+        });
+        service->targets.clear();
+        addTarget(server, "t" + promise);
+        unsigned got = 0;
+        runOn(loop, [&](Yield yield) { got = status("a", yield); });
+        checkProperty(got == 502, promise + " became " + std::to_string(got));
+    }
+}
+
 TEST(UnprovenPromises, aRefusalWrittenOnceMoreNeitherPromisesNorResendsARunningRequest)
 {
     int runs = 0;
