Targets: no response with an unknown or contradictory transfer coding is whole

Callers would see a body that isn't the target's, framed as whole: the HTTP parser takes `Transfer-Encoding: gzip` (or any coding but a last `chunked`) for no coding, also beside a Content-Length, drops codings before `chunked`, and reads chunks in HTTP/1.0. The entry removes the header and gives the body a length of its own.

Change: apart from none, only a single `chunked` without a length in HTTP/1.1 is accepted; the rest ends the connection, and the request may have run.

--- a/src/protocol/TargetConnection.cpp
+++ b/src/protocol/TargetConnection.cpp
@@ -12,6 +12,19 @@
 constexpr unsigned unackedTimeoutMs = 5'000;
 constexpr int maxInterimResponses = 8; // per request
 
+// The parser takes any coding before `chunked`, or none at all, for no coding, also beside a length
+// and in a version without codings. The body would then be passed on with a length that is not its
+// own.
+bool hasSoundFraming(const http::response_header<> &header)
+{
+    const auto codings = header.count(http::field::transfer_encoding);
+    const bool chunkedOnly
+        = codings == 1 && beast::iequals(header[http::field::transfer_encoding], "chunked");
+    return codings == 0
+        || (chunkedOnly && header.version() == 11
+            && header.count(http::field::content_length) == 0);
+}
+
 } // namespace
 
 TargetConnection::TargetConnection(asio::io_context &context, Address address)
@@ -90,7 +103,8 @@
         if (parser_->get().result_int() >= 200) {
             // The final response; readBody() reads its body. A body that is delimited only by the
             // end of the connection is complete unless the connection was reset.
-            return error;
+            return hasSoundFraming(parser_->get()) ? ErrorCode()
+                                                   : http::error::bad_transfer_encoding;
         }
     }
     return http::error::bad_status;
