Own dialect: a shed on a reused connection proves nothing

Callers would see `not-run` for a request that runs, or a once-request run twice: without request IDs a shed that a target writes once more on a kept connection can't be told from one that answers the present request, and both counted as proof.

Evidence: `test-correctness -v -g RepeatedSheds` linked with the code before: "CHECK_FALSE(provesNotRun(outcomes[1])) failed". Change: a shed is a proof only on a connection's first request, where nothing earlier can be repeated. On a reused connection it still makes an idempotent request try another target, after the same pause and without spending the retry budget, but the request counts as one that may have run, and the connection is closed, since the true response may follow. Once-requests are sent on new connections, as uploads were, so that sound targets' sheds stay proofs for them; this costs one connect each. After: 2 of 2 pass.

--- a/src/coordination/entry/Attempt.cpp
+++ b/src/coordination/entry/Attempt.cpp
@@ -61,7 +61,9 @@
     response = HttpResponse(connection.header());
     response.body() = std::move(body);
     if (isShed(response.result_int(), response)) {
-        return AttemptOutcome::shed;
+        // Without request IDs, only its place shows which request a response answers, and a target
+        // may write a response once more on a connection that is in use again.
+        return connection.isFirstExchange() ? AttemptOutcome::shed : AttemptOutcome::unprovenShed;
     }
     return connection.isResponseComplete() ? AttemptOutcome::completed : AttemptOutcome::streaming;
 }
@@ -85,6 +87,7 @@
         }
         break;
     case AttemptOutcome::shed:
+    case AttemptOutcome::unprovenShed:
         ++service.runtime->counters.sheds;
         stats.recordShed(now);
         break;
@@ -116,6 +119,11 @@
     return outcome == AttemptOutcome::shed || outcome == AttemptOutcome::notSent;
 }
 
+bool isShed(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::shed || outcome == AttemptOutcome::unprovenShed;
+}
+
 void AttemptHandle::cancel()
 {
     cancelled = true;
@@ -172,7 +180,8 @@
         result.connection = std::move(connection);
         return result;
     }
-    if (connection && connection->isReusable()) {
+    const bool attributed = result.outcome != AttemptOutcome::unprovenShed;
+    if (connection && attributed && connection->isReusable()) {
         worker.pool.giveBack(std::move(connection));
     }
     releaseTarget(service, *target);
--- a/src/coordination/entry/Attempt.h
+++ b/src/coordination/entry/Attempt.h
@@ -49,8 +49,12 @@
     notSent, ///< no byte of the request left this entry
     failed, ///< the connection ended or the response was invalid
     timedOut, ///< no complete response before the deadline, or cancelled
+    unprovenShed, ///< as `shed`, but it may be a copy of one that answered an earlier request
 };
 
+/// True when the target reported, provably or not, that it did not run the request.
+bool isShed(AttemptOutcome outcome);
+
 /// True when the request was certainly not run.
 bool provesNotRun(AttemptOutcome outcome);
 
--- a/src/coordination/entry/IdempotentCall.cpp
+++ b/src/coordination/entry/IdempotentCall.cpp
@@ -196,8 +196,7 @@
             return true;
         }
     }
-    const bool retried
-        = result.outcome == AttemptOutcome::shed ? retryAfterShed(yield) : retryAfterFailure(yield);
+    const bool retried = isShed(result.outcome) ? retryAfterShed(yield) : retryAfterFailure(yield);
     return !retried && group_->running == 0 && group_->results.empty();
 }
 
--- a/src/coordination/entry/OnceCall.cpp
+++ b/src/coordination/entry/OnceCall.cpp
@@ -13,7 +13,6 @@
 constexpr Milliseconds completeTimeout { 5'000 };
 constexpr Milliseconds pendingPollInterval { 100 };
 constexpr Milliseconds maxRunTime { 30'000 };
-constexpr Milliseconds maxIdleConnection { 300 };
 constexpr std::size_t maxStoredResponseBytes = 64 * 1024;
 constexpr int maxAttempts = 4;
 
@@ -178,7 +177,8 @@
 {
     AttemptOptions options;
     options.deadline = Clock::now() + maxRunTime;
-    options.maxIdle = maxIdleConnection;
+    // A shed proves something only on a connection that has carried no other request.
+    options.requireNewConnection = true;
     options.maxBufferedBytes = static_cast<std::size_t>(service_->configuration.maxRequestBytes);
     options.fingerprint = onceRequest_.fingerprint;
     for (int attempt = 1;; ++attempt) {
