--- a/test/processes/test_wrong_responses.py
+++ b/test/processes/test_wrong_responses.py
@@ -1,4 +1,4 @@
-"""Process tests of targets that send wrong bytes: without end, or a second copy of an answer, late."""
+"""Process tests of targets that send wrong bytes: without end, cut in the head, or a second time."""
 
 import http.client
 import json
@@ -35,8 +35,13 @@
         "chunks": (b"400000\r\n" + b"c" * 0x400000 + b"\r\n"),
     }
 
+    # The longest head whose cuts are tried.
+    cut_head = (b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nKumquatdeal-Response-Stamp: s\r\n%s\r\n")
+    refusal = b"HTTP/1.1 503 Busy\r\nKumquatdeal-Not-Executed: 1\r\n%sContent-Length: 2\r\n\r\n{}"
+
     def __init__(self, fleet):
         self.fleet = fleet
+        self.runs = {}  # by request ID
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         self.stopped = threading.Event()
@@ -72,13 +77,13 @@
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
     def serve(self, connection):
-        late_copy = b""
+        late_copy = refused_id = b""
         try:
             while not self.stopped.is_set():
                 request = connection.recv(65536)
                 if not request:
                     return
-                kind = re.match(rb"GET /wrong/(\w+)", request)
+                kind = re.match(rb"(?:GET|POST) /(?:wrong|unsafe)/(\w+)", request)
                 if not kind:
                     connection.sendall(b"HTTP/1.1 200 OK\r\nKumquatdeal-Instance-Id: wrong\r\n"
                                        b"Kumquatdeal-Server-Load: 0,0,64,100\r\n"
@@ -86,6 +91,23 @@
                     continue
                 name = kind.group(1).decode()
                 request_id = re.search(rb"Kumquatdeal-Request-Id: .*?\r\n", request).group(0)
+                if name == "refused":
+                    refused_id = request_id
+                    connection.sendall(self.refusal.replace(b"%s", request_id))
+                    continue
+                if name in ("named", "unnamed"):
+                    self.runs[request_id] = self.runs.get(request_id, 0) + 1
+                    self.copies += 1 if refused_id else 0
+                    connection.sendall(self.refusal.replace(
+                        b"%s", refused_id if name == "named" else b""))
+                    self.stopped.wait(0.01)
+                    connection.sendall(b"HTTP/1.1 200 OK\r\nKumquatdeal-Response-Stamp: s\r\n%s"
+                                       b"Content-Length: 2\r\n\r\nok" % request_id)
+                    continue
+                if name.startswith("cut"):
+                    whole = self.cut_head.replace(b"%s", request_id) + b"Hello world!"
+                    connection.sendall(whole[:int(name[3:])])
+                    return
                 if name == "twice":
                     answer = (b"HTTP/1.1 200 OK\r\nKumquatdeal-Response-Stamp: s\r\n%s"
                               b"Content-Length: %d\r\n\r\n%s"
@@ -111,7 +133,7 @@
         self.target = WrongTarget(self.fleet)
         self.addCleanup(self.target.stop)
         changed = document(5, (("/lookup/", "safe", "catalogue"), ("/book/", "unsafe", "orders"),
-                               ("/wrong/", "safe", SERVICE)))
+                               ("/wrong/", "safe", SERVICE), ("/unsafe/", "unsafe", SERVICE)))
         changed["Clusters"].append(dict(changed["Clusters"][0], Name=SERVICE))
         self.fleet.put_document(changed)
         wait_until(lambda: '"target":"wrong"' in self.log(), 10, "the target to be known")
@@ -152,6 +174,24 @@
             self.assertIn(request_id.encode(), body)
         self.assertGreater(self.target.copies, 10)
 
+    def test_a_refusal_written_once_more_refuses_no_running_request(self):
+        for kind in ("named", "unnamed"):
+            for prefix, method in (("/wrong/", "GET"), ("/unsafe/", "POST")):
+                for _ in range(10):
+                    self.assertEqual(self.fleet.request(0, prefix + "refused", method)[0], 503)
+                    got = self.fleet.request(0, prefix + kind, method)
+                    self.assertEqual((got[0], got[2]), (200, b"ok"), (kind, method))
+        self.assertEqual(set(self.target.runs.values()), {1})
+        self.assertGreater(self.target.copies, 20)
+
+    def test_a_response_cut_in_its_head_is_no_response(self):
+        whole = len(WrongTarget.cut_head) - 2 + len("Kumquatdeal-Request-Id: \r\n") + 16 + 12
+        for length in range(1, whole):
+            status = self.fleet.request(0, "/unsafe/cut%d" % length, "POST")[0]
+            self.assertEqual(status, 502, length)
+        status, _, body, _ = self.fleet.request(0, "/unsafe/cut%d" % whole, "POST")
+        self.assertEqual((status, body), (200, b"Hello world!"))
+
 
 if __name__ == "__main__":
     unittest.main()
