Internal client: no byte of an earlier response answers a later call

A peer that writes a response twice, or more than it announced, would have the copy taken for the response to the next call on the kept connection (a claim, a log entry's acknowledgement, a page of a feed).

Evidence: `test-correctness -g ClientConnections` on the code before: "expected <ab> but was <aa>". Change: a connection with surplus bytes isn't kept, and an idle one with unread input or an end of input isn't used again, which also spares calls a failure on a connection that the peer has closed. After: passes; whole suite 111 of 111.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -2,6 +2,8 @@
 
 #include "kumquat/Error.h"
 
+#include <sys/socket.h>
+
 namespace kumquat {
 
 namespace {
@@ -11,6 +13,15 @@
 /// An instance that is down never replies, so connecting fails early; a later call tries again.
 constexpr Milliseconds connectTimeout { 300 };
 
+// Bytes on an idle connection belong to no later call, and an end of input means that the peer has
+// closed it.
+bool isQuiet(TcpStream &stream)
+{
+    char byte = 0;
+    const auto seen = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 } // namespace
 
 std::string signedText(const HttpRequest &request)
@@ -39,7 +50,7 @@
     while (!stack.empty() && !connection) {
         connection = std::move(stack.back());
         stack.pop_back();
-        if (Clock::now() - connection->idleSince > maxIdleTime) {
+        if (Clock::now() - connection->idleSince > maxIdleTime || !isQuiet(connection->stream)) {
             connection.reset();
         }
     }
@@ -97,7 +108,7 @@
                          "check that the process runs and can be reached");
     }
     connection->stream.expires_never();
-    if (response.keep_alive()) {
+    if (response.keep_alive() && connection->buffer.size() == 0) {
         connection->idleSince = Clock::now();
         idleConnections_[address].push_back(std::move(connection));
     }
