--- a/test/correctness/OddAnnouncements.cpp
+++ b/test/correctness/OddAnnouncements.cpp
@@ -67,8 +67,11 @@
     options.heartbeatInterval = Milliseconds(1'500);
     Disk disk;
     disk.read = [stored](const std::string &) { return stored; };
+    disk.replace = [](const std::string &, const std::string &) { return absl::OkStatus(); };
+    TargetRegistryHooks hooks;
+    hooks.runDiskWork = [](const auto &work, const auto &done) { done(work()); };
     auto registry = std::make_unique<TargetRegistry>(
-        loop, options, platform::dialectNamed("platform"), disk, TargetRegistryHooks());
+        loop, options, platform::dialectNamed("platform"), disk, std::move(hooks));
     registry->loadTargets();
     return registry;
 }
--- a/test/correctness/RepeatedRefusals.cpp
+++ b/test/correctness/RepeatedRefusals.cpp
@@ -45,7 +45,7 @@
 {
     asio::io_context loop { 1 };
     EntryHooks hooks = idleHooks();
-    Worker worker { loop, hooks, 1 };
+    Worker worker { loop, hooks, 96 * 1024 * 1024, 1 };
     const Dialect &dialect = platform::dialectNamed("platform");
     Milliseconds timeout = exchangeTimeout;
 
--- a/test/correctness/TargetResponseFraming.cpp
+++ b/test/correctness/TargetResponseFraming.cpp
@@ -274,7 +274,7 @@
 {
     asio::io_context loop { 1 };
     EntryHooks hooks = idleHooks();
-    Worker worker { loop, hooks, 1 };
+    Worker worker { loop, hooks, 96 * 1024 * 1024, 1 };
     Case current;
     LoopbackTarget server { loop, [this](int, const std::string &) {
                                return ResponseScript { { current.bytes, current.end } };
--- a/test/correctness/UnprovenPromises.cpp
+++ b/test/correctness/UnprovenPromises.cpp
@@ -29,7 +29,7 @@
 {
     asio::io_context loop { 1 };
     EntryHooks hooks = idleHooks();
-    Worker worker { loop, hooks, 1 };
+    Worker worker { loop, hooks, 96 * 1024 * 1024, 1 };
     std::shared_ptr<ActiveService> service = std::make_shared<ActiveService>();
     std::shared_ptr<ActiveRoute> route = std::make_shared<ActiveRoute>();
 
