Log: metrics and events that tell apart why a member is late

Nothing measured how large a member's log was, how long it took to load, or how far a learner was behind. Change: metrics control_log_disk_bytes, control_log_memory_bytes, control_snapshot_bytes, control_snapshot_index, control_load_bytes, control_load_seconds, control_snapshots_sent_total, control_snapshot_sent_bytes_total, control_snapshots_installed_total; events 409 to 412: member added, promoted and removed with its lag in entries and bytes, what it was sent and in how long, and the log loaded. No behaviour changes.

--- a/include/kumquat/Event.h
+++ b/include/kumquat/Event.h
@@ -48,6 +48,10 @@
     groupFormed = 406,
     diskFull = 407,
     diskWritable = 408,
+    memberAdded = 409,
+    memberPromoted = 410,
+    memberRemoved = 411,
+    logLoaded = 412,
     badDatagram = 600,
 };
 
--- a/src/coordination/consensus/GroupNode.cpp
+++ b/src/coordination/consensus/GroupNode.cpp
@@ -58,6 +58,7 @@
 
 absl::Status GroupNode::start()
 {
+    const TimePoint begin = hooks_.now();
     auto loaded = store_.load();
     if (!loaded.ok()) {
         return loaded.status();
@@ -102,6 +103,11 @@
     raftOptions.seed = random();
     raft_.emplace(raftOptions, self, loaded->hardState, std::move(log), hooks_.now());
     isDiskFull_ = store_.mustReplace();
+    loadTime_ = std::chrono::duration_cast<Milliseconds>(hooks_.now() - begin);
+    logEvent(Event::logLoaded, LogLevel::info,
+             "member={} bytes={} snapshotIndex={} lastIndex={} ms={}", options_.name,
+             store_.loadedBytes(), raft_->log().snapshot().index, raft_->log().lastIndex(),
+             loadTime_.count());
     return absl::OkStatus();
 }
 
@@ -265,6 +271,19 @@
     }
 }
 
+void GroupNode::logMembershipChanges()
+{
+    for (const MembershipNote &note : raft_->takeMembershipNotes()) {
+        const Event event = note.step == MembershipStep::added ? Event::memberAdded
+            : note.step == MembershipStep::promoted            ? Event::memberPromoted
+                                                               : Event::memberRemoved;
+        logEvent(event, LogLevel::info,
+                 "peer={} id={} voter={} lagEntries={} lagBytes={} sentBytes={} ms={}",
+                 note.member.name, note.member.id, note.member.voter, note.lagEntries,
+                 note.lagBytes, note.sentBytes, note.elapsed.count());
+    }
+}
+
 void GroupNode::collectOutput()
 {
     RaftOutput output = raft_->takeOutput();
@@ -285,6 +304,7 @@
     applyCommitted();
     collectOutput();
     logLeaderChange();
+    logMembershipChanges();
     if (!isWriting_ && isDiskFull_) {
         replaceStore();
     } else if (!isWriting_) {
@@ -403,8 +423,8 @@
     if (raft_->takeSnapshotInstalled()) {
         const absl::Status restored = state_.restore(raft_->log().snapshot().data);
         KUMQUAT_ASSERT(restored.ok(), std::string(restored.message()));
-        logEvent(Event::snapshotInstalled, LogLevel::info, "member={} index={}", options_.name,
-                 raft_->log().snapshot().index);
+        logEvent(Event::snapshotInstalled, LogLevel::info, "member={} index={} bytes={}",
+                 options_.name, raft_->log().snapshot().index, raft_->log().snapshot().data.size());
         hooks_.stateChanged();
     }
     const std::vector<LogEntry> entries = raft_->takeCommitted();
@@ -437,8 +457,8 @@
 void GroupNode::takeSnapshot()
 {
     pendingSnapshot_ = raft_->compact(raft_->appliedIndex(), state_.save());
-    logEvent(Event::snapshotTaken, LogLevel::info, "member={} index={}", options_.name,
-             pendingSnapshot_->index);
+    logEvent(Event::snapshotTaken, LogLevel::info, "member={} index={} bytes={}", options_.name,
+             pendingSnapshot_->index, pendingSnapshot_->data.size());
 }
 
 } // namespace kumquat
--- a/src/coordination/consensus/GroupNode.h
+++ b/src/coordination/consensus/GroupNode.h
@@ -86,6 +86,8 @@
     const LogStore &store() const { return store_; }
     bool isVoter() const { return raft_->self().voter; }
     bool isDiskFull() const { return isDiskFull_; }
+    /// Time that start() took to read and restore the stored state.
+    Milliseconds loadTime() const { return loadTime_; }
 
 private:
     struct PendingProposal
@@ -110,6 +112,7 @@
     void sendMessages(std::vector<RaftMessage> messages);
     std::string addressOf(MemberId id) const;
     void logLeaderChange();
+    void logMembershipChanges();
 
     GroupNodeOptions options_;
     LogStore store_;
@@ -125,6 +128,7 @@
     TimePoint nextReplaceAt_; ///< while the disk is full
     bool isProcessing_ = false;
     bool wasLeader_ = false;
+    Milliseconds loadTime_ { 0 };
     TimePoint nextJoinAt_;
     TimePoint nextExpiryAt_;
 };
--- a/src/coordination/consensus/Raft.cpp
+++ b/src/coordination/consensus/Raft.cpp
@@ -208,6 +208,7 @@
         Progress &progress = progress_[member.id];
         progress.nextIndex = log_.lastIndex() + 1;
         progress.lastContact = now;
+        progress.since = now;
     }
     // Entries of earlier terms are committed only together with one of this term, so append one.
     LogEntry entry;
@@ -456,6 +457,7 @@
         storedIndex_ = commitIndex_;
         output_.entries = log_.slice(log_.firstIndex(), SIZE_MAX);
         snapshotInstalled_ = true;
+        ++snapshotCounts_.installed;
         output_.installedSnapshot = message.snapshot;
         output_.storedIndex = log_.lastIndex();
     }
--- a/src/coordination/consensus/Raft.h
+++ b/src/coordination/consensus/Raft.h
@@ -48,6 +48,28 @@
     bool mustStore() const { return hardState || !entries.empty() || installedSnapshot; }
 };
 
+enum class MembershipStep { added, promoted, removed };
+
+/// A change of the group that this leader has begun, for the log of events.
+struct MembershipNote
+{
+    MembershipStep step = MembershipStep::added;
+    GroupMember member;
+    std::uint64_t lagEntries = 0; ///< of the member's log behind the leader's
+    std::uint64_t lagBytes = 0;
+    std::uint64_t sentBytes
+        = 0; ///< of entries and snapshots since it was added or this leader's term
+    Milliseconds elapsed { 0 }; ///< since then
+};
+
+/// Totals since the start of the process.
+struct SnapshotCounts
+{
+    std::uint64_t sent = 0;
+    std::uint64_t sentBytes = 0;
+    std::uint64_t installed = 0;
+};
+
 class Raft
 {
 public:
@@ -88,6 +110,10 @@
     /// Asks another voter that has the whole log to start an election, before a planned stop.
     void transferLeadership(TimePoint now);
 
+    /// Returns the changes of the group that were begun since the last call.
+    std::vector<MembershipNote> takeMembershipNotes() { return std::exchange(notes_, {}); }
+    const SnapshotCounts &snapshotCounts() const { return snapshotCounts_; }
+
     RaftRole role() const { return role_; }
     bool isLeader() const { return role_ == RaftRole::leader; }
     /// True when this member leads and a majority answered it within `minElectionTimeout`.
@@ -112,6 +138,8 @@
         std::uint64_t ackedRound = 0; ///< latest heartbeat round answered
         TimePoint lastContact;
         TimePoint lastSent;
+        TimePoint since; ///< when this leader began to send to it
+        std::uint64_t sentBytes = 0; ///< of entries and snapshots
         bool inFlight = false; ///< entries or a snapshot were sent and not answered
     };
 
@@ -150,6 +178,7 @@
     const GroupMember *learnerToPromote(TimePoint now) const;
     const GroupMember *unresponsiveMember(bool voter, Milliseconds longerThan, TimePoint now) const;
     void removeMember(MemberId id, TimePoint now);
+    void noteMembership(MembershipStep step, const GroupMember &member, TimePoint now);
     void promoteToVoter(MemberId id, TimePoint now);
     void sendAppend(const GroupMember &member, TimePoint now);
     void broadcast(TimePoint now);
@@ -184,6 +213,8 @@
     std::uint64_t heartbeatRound_ = 0;
     std::uint64_t termStartIndex_ = 0; ///< of the first entry of this leader's term
     bool snapshotInstalled_ = false;
+    std::vector<MembershipNote> notes_;
+    SnapshotCounts snapshotCounts_;
     RaftOutput output_;
 };
 
--- a/src/coordination/consensus/RaftLog.cpp
+++ b/src/coordination/consensus/RaftLog.cpp
@@ -2,8 +2,27 @@
 
 #include "protocol/Codec.h"
 
+#include <algorithm>
+
 namespace kumquat {
 
+namespace {
+
+std::uint64_t bytesOf(const LogEntry &entry)
+{
+    return entry.payload.size() + sizeof(LogEntry);
+}
+
+} // namespace
+
+std::uint64_t RaftLog::bytesUpTo(std::uint64_t index) const
+{
+    if (index <= snapshot_.index || entries_.empty()) {
+        return removedBytes_;
+    }
+    return entries_[std::min(index, lastIndex()) - firstIndex()].bytesUpTo;
+}
+
 std::uint64_t RaftLog::termAt(std::uint64_t index) const
 {
     if (index == snapshot_.index) {
@@ -15,7 +34,7 @@
 const LogEntry &RaftLog::at(std::uint64_t index) const
 {
     KUMQUAT_ASSERT(index > snapshot_.index && index <= lastIndex(), std::to_string(index));
-    return entries_[index - firstIndex()];
+    return entries_[index - firstIndex()].entry;
 }
 
 void RaftLog::put(LogEntry entry)
@@ -23,7 +42,8 @@
     KUMQUAT_ASSERT(entry.index > snapshot_.index && entry.index <= lastIndex() + 1,
                    std::to_string(entry.index));
     entries_.resize(entry.index - firstIndex());
-    entries_.push_back(std::move(entry));
+    totalBytes_ = (entries_.empty() ? removedBytes_ : entries_.back().bytesUpTo) + bytesOf(entry);
+    entries_.push_back({ std::move(entry), totalBytes_ });
 }
 
 std::vector<LogEntry> RaftLog::slice(std::uint64_t index, std::size_t maxBytes) const
@@ -32,7 +52,7 @@
     std::size_t bytes = 0;
     for (; index <= lastIndex(); ++index) {
         const LogEntry &entry = at(index);
-        bytes += entry.payload.size() + sizeof(LogEntry);
+        bytes += bytesOf(entry);
         if (!result.empty() && bytes > maxBytes) {
             break;
         }
@@ -64,13 +84,16 @@
 
 void RaftLog::installSnapshot(LogSnapshot snapshot)
 {
-    std::vector<LogEntry> kept;
     const bool agrees = contains(snapshot.index) && termAt(snapshot.index) == snapshot.term;
-    if (agrees && snapshot.index < lastIndex()) {
-        kept = slice(snapshot.index + 1, SIZE_MAX);
+    if (!agrees) {
+        entries_.clear();
+        removedBytes_ = totalBytes_;
+    }
+    while (!entries_.empty() && entries_.front().entry.index <= snapshot.index) {
+        removedBytes_ = entries_.front().bytesUpTo;
+        entries_.pop_front();
     }
     snapshot_ = std::move(snapshot);
-    entries_ = std::move(kept);
 }
 
 } // namespace kumquat
--- a/src/coordination/consensus/RaftLog.h
+++ b/src/coordination/consensus/RaftLog.h
@@ -5,6 +5,8 @@
 
 #include "protocol/RaftMessage.h"
 
+#include <deque>
+
 namespace kumquat {
 
 class RaftLog
@@ -12,6 +14,9 @@
 public:
     std::uint64_t firstIndex() const { return snapshot_.index + 1; }
     std::uint64_t lastIndex() const { return snapshot_.index + entries_.size(); }
+    /// Bytes that the entries after \p index take in memory; of all of them if the snapshot covers
+    /// it.
+    std::uint64_t bytesAfter(std::uint64_t index) const { return totalBytes_ - bytesUpTo(index); }
     std::uint64_t lastTerm() const { return termAt(lastIndex()); }
 
     /// True for the last entry that the snapshot covers and for the entries after it.
@@ -39,8 +44,19 @@
     void installSnapshot(LogSnapshot snapshot);
 
 private:
+    /// An entry with the total of the bytes of all entries up to it since the start.
+    struct HeldEntry
+    {
+        LogEntry entry;
+        std::uint64_t bytesUpTo = 0;
+    };
+
+    std::uint64_t bytesUpTo(std::uint64_t index) const;
+
     LogSnapshot snapshot_;
-    std::vector<LogEntry> entries_;
+    std::deque<HeldEntry> entries_;
+    std::uint64_t removedBytes_ = 0; ///< of entries that the snapshot covers
+    std::uint64_t totalBytes_ = 0;
 };
 
 } // namespace kumquat
--- a/src/coordination/consensus/RaftMembership.cpp
+++ b/src/coordination/consensus/RaftMembership.cpp
@@ -43,6 +43,7 @@
     for (const GroupMember &member : members_) {
         if (progress_.count(member.id) == 0) {
             progress_[member.id].nextIndex = log_.lastIndex();
+            progress_[member.id].since = now;
         }
     }
     broadcast(now);
@@ -97,8 +98,22 @@
     return nullptr;
 }
 
+void Raft::noteMembership(MembershipStep step, const GroupMember &member, TimePoint now)
+{
+    const Progress progress = progress_[member.id];
+    MembershipNote note;
+    note.step = step;
+    note.member = member;
+    note.lagEntries = log_.lastIndex() - std::min(log_.lastIndex(), progress.matchIndex);
+    note.lagBytes = log_.bytesAfter(progress.matchIndex);
+    note.sentBytes = progress.sentBytes;
+    note.elapsed = std::chrono::duration_cast<Milliseconds>(now - progress.since);
+    notes_.push_back(std::move(note));
+}
+
 void Raft::removeMember(MemberId id, TimePoint now)
 {
+    noteMembership(MembershipStep::removed, *findMember(id), now);
     std::vector<GroupMember> changed = members_;
     changed.erase(std::remove_if(changed.begin(), changed.end(),
                                  [id](const GroupMember &member) { return member.id == id; }),
@@ -109,6 +124,7 @@
 
 void Raft::promoteToVoter(MemberId id, TimePoint now)
 {
+    noteMembership(MembershipStep::promoted, *findMember(id), now);
     std::vector<GroupMember> changed = members_;
     for (GroupMember &member : changed) {
         member.voter = member.voter || member.id == id;
@@ -127,6 +143,7 @@
         changed.push_back(entry.second);
         changed.back().voter = false;
         appendMembership(changed, now);
+        noteMembership(MembershipStep::added, changed.back(), now);
         return true;
     }
     return false;
--- a/src/coordination/consensus/RaftReplication.cpp
+++ b/src/coordination/consensus/RaftReplication.cpp
@@ -43,6 +43,9 @@
         request.snapshot = log_.snapshot();
         request.round = heartbeatRound_;
         progress.inFlight = true;
+        progress.sentBytes += request.snapshot.data.size();
+        ++snapshotCounts_.sent;
+        snapshotCounts_.sentBytes += request.snapshot.data.size();
         output_.immediateMessages.push_back(std::move(request));
         return;
     }
@@ -53,6 +56,9 @@
     request.round = heartbeatRound_;
     request.entries = log_.slice(progress.nextIndex, options_.maxAppendBytes);
     progress.inFlight = !request.entries.empty();
+    for (const LogEntry &entry : request.entries) {
+        progress.sentBytes += entry.payload.size();
+    }
     // Sent before the leader has stored the entries itself: a commit needs a majority of stored
     // copies, and the leader's own copy counts only once it is stored.
     output_.immediateMessages.push_back(std::move(request));
--- a/src/coordination/control/ControlOperations.cpp
+++ b/src/coordination/control/ControlOperations.cpp
@@ -220,6 +220,18 @@
     page.gauge("control_committed", {}, static_cast<double>(raft.commitIndex()));
     page.counter("control_syncs_total", {}, static_cast<double>(node_->store().syncs()));
     page.counter("control_log_bytes_total", {}, static_cast<double>(node_->store().bytesWritten()));
+    page.gauge("control_log_disk_bytes", {}, static_cast<double>(node_->store().logBytes()));
+    page.gauge("control_log_memory_bytes", {}, static_cast<double>(raft.log().bytesAfter(0)));
+    page.gauge("control_snapshot_bytes", {},
+               static_cast<double>(raft.log().snapshot().data.size()));
+    page.gauge("control_snapshot_index", {}, static_cast<double>(raft.log().snapshot().index));
+    page.gauge("control_load_bytes", {}, static_cast<double>(node_->store().loadedBytes()));
+    page.gauge("control_load_seconds", {},
+               std::chrono::duration<double>(node_->loadTime()).count());
+    const SnapshotCounts &snapshots = raft.snapshotCounts();
+    page.counter("control_snapshots_sent_total", {}, static_cast<double>(snapshots.sent));
+    page.counter("control_snapshot_sent_bytes_total", {}, static_cast<double>(snapshots.sentBytes));
+    page.counter("control_snapshots_installed_total", {}, static_cast<double>(snapshots.installed));
     page.counter("control_peer_bytes_total", {}, static_cast<double>(peerLinks_->sentBytes()));
     page.counter("control_files_served_total", {}, static_cast<double>(filesServed_));
     page.counter("control_once_calls_total", {}, static_cast<double>(onceCalls_));
--- a/src/state/LogStore.cpp
+++ b/src/state/LogStore.cpp
@@ -106,7 +106,9 @@
     if (snapshot && !readSingle(*snapshot, state.snapshot)) {
         return damagedState();
     }
+    loadedBytes_ = identity->size() + log->size() + (snapshot ? snapshot->size() : 0);
     const RecordFileContent file = readRecords(*log);
+    logBytes_ = file.validBytes;
     if (file.damaged || file.records.empty()) {
         return damagedState();
     }
@@ -145,6 +147,7 @@
     }
     ++syncs_;
     bytesWritten_ += bytes.size();
+    logBytes_ += bytes.size();
     return status;
 }
 
@@ -174,6 +177,7 @@
         status = disk_.replace(logFile, bytes);
     }
     mustReplace_ = mustReplace_ && !status.ok();
+    logBytes_ = status.ok() ? bytes.size() : logBytes_.load();
     syncs_ += 2;
     bytesWritten_ += bytes.size();
     return status;
--- a/src/state/LogStore.h
+++ b/src/state/LogStore.h
@@ -7,6 +7,7 @@
 #include "state/Disk.h"
 
 #include <absl/status/statusor.h>
+#include <atomic>
 
 namespace kumquat {
 
@@ -44,6 +45,8 @@
 
     std::uint64_t syncs() const { return syncs_; }
     std::uint64_t bytesWritten() const { return bytesWritten_; }
+    std::uint64_t logBytes() const { return logBytes_; } ///< of the log file
+    std::uint64_t loadedBytes() const { return loadedBytes_; } ///< of all files, at the start
 
 private:
     absl::Status write(const std::string &bytes);
@@ -51,6 +54,8 @@
     Disk disk_;
     std::uint64_t syncs_ = 0;
     std::uint64_t bytesWritten_ = 0;
+    std::atomic<std::uint64_t> logBytes_ { 0 }; // written by the thread of the disk
+    std::uint64_t loadedBytes_ = 0;
     bool mustReplace_ = false;
 };
 
