--- a/src/coordination/consensus/GroupNode.cpp
+++ b/src/coordination/consensus/GroupNode.cpp
@@ -13,8 +13,8 @@
 
 constexpr Milliseconds joinInterval { 300 };
 constexpr Milliseconds onceExpiryInterval { 60'000 };
-/// Between two tries to write to a full disk.
-constexpr Milliseconds diskFullRetryInterval { 250 };
+/// Of the entries that are applied before the log may be compacted again.
+constexpr std::size_t maxAppliedBytes = 1024 * 1024;
 
 MemberId randomMemberId(Random &random)
 {
@@ -37,8 +37,8 @@
     if (output.hardState) {
         pending.hardState = output.hardState;
     }
-    if (output.installedSnapshot) {
-        pending.installedSnapshot = std::move(output.installedSnapshot);
+    if (output.snapshotInstalled) {
+        pending.snapshotInstalled = true;
         pending.entries.clear();
     }
     for (LogEntry &entry : output.entries) {
@@ -90,7 +90,7 @@
         }
     }
     RaftLog log;
-    log.installSnapshot(loaded->snapshot);
+    log.installSnapshot(std::move(loaded->snapshot));
     for (LogEntry &entry : loaded->entries) {
         log.put(std::move(entry));
     }
@@ -313,152 +313,84 @@
     isProcessing_ = false;
 }
 
-void GroupNode::writePending()
+void GroupNode::restoreInstalledSnapshot()
 {
-    RaftOutput output = std::move(pendingOutput_);
-    pendingOutput_ = RaftOutput();
-    if (!output.mustStore() && !pendingSnapshot_) {
-        sendMessages(output.messagesAfterStore);
+    if (!raft_->takeSnapshotInstalled()) {
         return;
     }
-    isWriting_ = true;
-    const auto written = std::make_shared<RaftOutput>(std::move(output));
-    const HardState hardState = raft_->hardState();
-    std::optional<LogSnapshot> newSnapshot = std::move(pendingSnapshot_);
-    pendingSnapshot_.reset();
-    if (written->installedSnapshot) {
-        newSnapshot = written->installedSnapshot;
-    }
-    std::vector<LogEntry> allEntries;
-    if (newSnapshot) {
-        newSnapshot = raft_->log().snapshot();
-        allEntries = raft_->log().slice(raft_->log().firstIndex(), SIZE_MAX);
-    }
-    hooks_.runDiskWork(
-        [this, written, hardState, newSnapshot, allEntries] {
-            if (newSnapshot) {
-                return store_.replace(*newSnapshot, hardState, allEntries);
-            }
-            return store_.append(written->hardState ? &hardState : nullptr, written->entries);
-        },
-        [this, written](const absl::Status &status) { onStored(*written, status); });
+    const LogSnapshot &snapshot = raft_->log().snapshot();
+    const absl::Status restored = state_.restore(snapshot.data);
+    KUMQUAT_ASSERT(restored.ok(), std::string(restored.message()));
+    logEvent(Event::snapshotInstalled, LogLevel::info, "member={} index={} bytes={}", options_.name,
+             snapshot.index, snapshot.data.size());
+    hooks_.stateChanged();
 }
 
-void GroupNode::onStored(const RaftOutput &output, const absl::Status &status)
+// In small steps, and compacted after each: a log that a version without a bound on its bytes has
+// left may hold a large part of the memory.
+void GroupNode::applyCommitted()
 {
-    if (isError(status, ErrorKind::storageFull)) {
-        onDiskFull(status);
-        return;
-    }
-    if (!status.ok()) {
-        hooks_.storeFailed(status);
-        return;
+    restoreInstalledSnapshot();
+    bool applied = false;
+    while (raft_->appliedIndex() < raft_->commitIndex()) {
+        for (const LogEntry &entry : raft_->takeCommitted(maxAppliedBytes)) {
+            applyEntry(entry);
+        }
+        if (isCompactionDue()) {
+            takeSnapshot();
+        }
+        applied = true;
     }
-    isWriting_ = false;
-    if (!output.entries.empty()) {
-        const LogEntry &last = output.entries.back();
-        raft_->markStored(last.index, last.term, hooks_.now());
+    if (applied) {
+        hooks_.stateChanged();
     }
-    sendMessages(output.messagesAfterStore);
-    processOutput();
 }
 
-void GroupNode::onDiskFull(const absl::Status &status)
+void GroupNode::applyEntry(const LogEntry &entry)
 {
-    isWriting_ = false;
-    nextReplaceAt_ = hooks_.now() + diskFullRetryInterval;
-    if (!isDiskFull_) {
-        isDiskFull_ = true;
-        logEvent(Event::diskFull, LogLevel::error, "member={} leader={} {}", options_.name,
-                 raft_->isLeader(), std::string(status.message()));
-    }
-    transferLeadership(); // again each time, since it needs a voter that has the whole log
-}
-
-// Stores everything anew, compacted, since the log on disk may end in part of a record. That covers
-// the output up to now. Responses that may not be sent before are dropped, which the group takes
-// for lost messages.
-void GroupNode::replaceStore()
-{
-    pendingOutput_ = RaftOutput();
-    pendingSnapshot_.reset();
-    if (hooks_.now() < nextReplaceAt_) {
-        return;
+    absl::StatusOr<ControlResult> result = ControlResult();
+    if (entry.type == EntryType::command) {
+        result = state_.apply(entry.payload);
     }
-    if (raft_->appliedIndex() > raft_->log().snapshot().index) {
-        raft_->compact(raft_->appliedIndex(), state_.save());
-    }
-    isWriting_ = true;
-    const RaftLog &log = raft_->log();
-    hooks_.runDiskWork(
-        [this, snapshot = log.snapshot(), hardState = raft_->hardState(),
-         entries = log.slice(log.firstIndex(), SIZE_MAX)] {
-            return store_.replace(snapshot, hardState, entries);
-        },
-        [this, lastIndex = log.lastIndex(), lastTerm = log.lastTerm()](const absl::Status &status) {
-            onReplaced(lastIndex, lastTerm, status);
-        });
-}
-
-void GroupNode::onReplaced(std::uint64_t lastIndex, std::uint64_t lastTerm,
-                           const absl::Status &status)
-{
-    if (isError(status, ErrorKind::storageFull)) {
-        onDiskFull(status);
+    const auto pending = pendingProposals_.find(entry.index);
+    if (pending == pendingProposals_.end()) {
         return;
     }
-    if (!status.ok()) {
-        hooks_.storeFailed(status);
-        return;
+    const PendingProposal proposal = std::move(pending->second);
+    pendingProposals_.erase(pending);
+    if (proposal.term != entry.term) {
+        result = makeError(ErrorKind::unavailable, "another leader's entry replaced the command",
+                           "send it again with the same ID");
     }
-    isWriting_ = false;
-    isDiskFull_ = false;
-    logEvent(Event::diskWritable, LogLevel::info, "member={} index={}", options_.name, lastIndex);
-    raft_->markStored(lastIndex, lastTerm, hooks_.now());
-    processOutput();
+    proposal.done(std::move(result));
 }
 
-void GroupNode::applyCommitted()
+// The file of the log may be larger than the log in memory: it also holds replaced entries and hard
+// states.
+bool GroupNode::isCompactionDue() const
 {
-    if (raft_->takeSnapshotInstalled()) {
-        const absl::Status restored = state_.restore(raft_->log().snapshot().data);
-        KUMQUAT_ASSERT(restored.ok(), std::string(restored.message()));
-        logEvent(Event::snapshotInstalled, LogLevel::info, "member={} index={} bytes={}",
-                 options_.name, raft_->log().snapshot().index, raft_->log().snapshot().data.size());
-        hooks_.stateChanged();
-    }
-    const std::vector<LogEntry> entries = raft_->takeCommitted();
-    for (const LogEntry &entry : entries) {
-        absl::StatusOr<ControlResult> result = ControlResult();
-        if (entry.type == EntryType::command) {
-            result = state_.apply(entry.payload);
-        }
-        const auto pending = pendingProposals_.find(entry.index);
-        if (pending == pendingProposals_.end()) {
-            continue;
-        }
-        const PendingProposal proposal = std::move(pending->second);
-        pendingProposals_.erase(pending);
-        if (proposal.term != entry.term) {
-            result
-                = makeError(ErrorKind::unavailable, "another leader's entry replaced the command",
-                            "send it again with the same ID");
-        }
-        proposal.done(std::move(result));
-    }
-    if (!entries.empty()) {
-        hooks_.stateChanged();
-    }
-    if (raft_->appliedIndex() - raft_->log().snapshot().index >= options_.snapshotEveryEntries) {
-        takeSnapshot();
-    }
+    const RaftLog &log = raft_->log();
+    const std::uint64_t applied = raft_->appliedIndex();
+    const std::uint64_t maxBytes
+        = std::max<std::uint64_t>(options_.minCompactedBytes, log.snapshot().data.size());
+    const std::uint64_t appliedBytes = log.bytesAfter(0) - log.bytesAfter(applied);
+    const bool isFileLarge
+        = !isWriting_ && !mustWriteAnew_ && store_.logBytes() >= 2 * maxBytes && appliedBytes > 0;
+    return appliedBytes >= maxBytes || isFileLarge
+        || applied - log.snapshot().index >= options_.snapshotEveryEntries;
 }
 
+// All of the log in memory is written with the snapshot, so pending output need not hold its
+// entries.
 void GroupNode::takeSnapshot()
 {
-    pendingSnapshot_ = raft_->compact(raft_->appliedIndex(), state_.save());
+    raft_->compact(raft_->appliedIndex(), state_.save());
+    mustWriteAnew_ = true;
+    for (LogEntry &entry : pendingOutput_.entries) {
+        entry.payload = std::string();
+    }
     logEvent(Event::snapshotTaken, LogLevel::info, "member={} index={} bytes={}", options_.name,
-             pendingSnapshot_->index, pendingSnapshot_->data.size());
+             raft_->log().snapshot().index, raft_->log().snapshot().data.size());
 }
 
 } // namespace kumquat
--- a/src/coordination/consensus/GroupNode.h
+++ b/src/coordination/consensus/GroupNode.h
@@ -41,6 +41,9 @@
     std::vector<std::string> initialMembers;
     std::uint64_t seed = 0;
     std::uint64_t snapshotEveryEntries = 20'000;
+    /// The log is also compacted when its applied entries take more bytes than the last snapshot,
+    /// or than this if the snapshot is smaller.
+    std::uint64_t minCompactedBytes = 1024 * 1024;
     std::uint64_t maxOnceRecords = 200'000;
     Milliseconds onceRetention { 86'400'000 };
     RaftOptions raft;
@@ -105,7 +108,11 @@
     void onDiskFull(const absl::Status &status);
     void replaceStore();
     void onReplaced(std::uint64_t lastIndex, std::uint64_t lastTerm, const absl::Status &status);
+    void writeAnew(std::function<void(absl::Status)> done);
+    void restoreInstalledSnapshot();
     void applyCommitted();
+    void applyEntry(const LogEntry &entry);
+    bool isCompactionDue() const;
     void takeSnapshot();
     void expireOnceRecords();
     void requestJoin();
@@ -122,7 +129,7 @@
     std::map<std::uint64_t, PendingProposal> pendingProposals_; ///< by log index
     std::map<MemberId, std::string> senderAddresses_; ///< latest address of each sender
     RaftOutput pendingOutput_;
-    std::optional<LogSnapshot> pendingSnapshot_; ///< taken, to be stored with the next write
+    bool mustWriteAnew_ = false; ///< a snapshot was taken, to be stored with the next write
     bool isWriting_ = false;
     bool isDiskFull_ = false; ///< nothing is stored or acknowledged until a replacement succeeds
     TimePoint nextReplaceAt_; ///< while the disk is full
--- a/src/coordination/consensus/PeerLinks.cpp
+++ b/src/coordination/consensus/PeerLinks.cpp
@@ -9,8 +9,12 @@
 namespace {
 
 constexpr std::size_t maxQueuedMessages = 256;
+constexpr std::size_t maxQueuedBytes = 4 * 1024 * 1024;
 constexpr std::size_t maxBatchMessages = 64;
+constexpr std::size_t maxBatchBytes = 512 * 1024;
 constexpr Milliseconds sendTimeout { 500 };
+/// A batch may take longer the larger it is; a link slower than this is broken.
+constexpr std::size_t minLinkBytesPerMillisecond = 1024;
 
 } // namespace
 
@@ -22,33 +26,54 @@
 void PeerLinks::send(const std::string &address, const RaftMessage &message)
 {
     Link &link = links_[address];
-    if (link.queue.size() >= maxQueuedMessages) {
-        link.queue.pop_front();
+    const std::size_t bytes = payloadBytes(message);
+    while (
+        !link.queue.empty()
+        && (link.queue.size() >= maxQueuedMessages || link.queuedBytes + bytes > maxQueuedBytes)) {
+        takeFirst(link);
     }
     link.queue.push_back(message);
+    link.queuedBytes += bytes;
     if (!link.sending) {
         link.sending = true;
         spawnOn(context_, [this, address](Yield yield) { sendQueued(address, yield); });
     }
 }
 
+RaftMessage PeerLinks::takeFirst(Link &link)
+{
+    RaftMessage message = std::move(link.queue.front());
+    link.queue.pop_front();
+    link.queuedBytes -= payloadBytes(message);
+    return message;
+}
+
+RaftBatch PeerLinks::takeBatch(Link &link)
+{
+    RaftBatch batch;
+    std::size_t bytes = 0;
+    while (!link.queue.empty() && batch.messages.size() < maxBatchMessages
+           && bytes < maxBatchBytes) {
+        batch.messages.push_back(takeFirst(link));
+        bytes += payloadBytes(batch.messages.back());
+    }
+    return batch;
+}
+
 void PeerLinks::sendQueued(const std::string &address, Yield yield)
 {
     const auto to = parseAddress(address);
     Link &link = links_[address];
     while (to.ok() && !link.queue.empty()) {
-        RaftBatch batch;
-        while (!link.queue.empty() && batch.messages.size() < maxBatchMessages) {
-            batch.messages.push_back(std::move(link.queue.front()));
-            link.queue.pop_front();
-        }
-        std::string bytes = pack(batch);
+        std::string bytes = pack(takeBatch(link));
+        const Milliseconds timeout
+            = sendTimeout + Milliseconds(bytes.size() / minLinkBytesPerMillisecond);
         sentBytes_ += bytes.size();
         ++sentBatches_;
-        const auto response
-            = client_.post(*to, wire::raftPath, std::move(bytes), sendTimeout, yield);
+        const auto response = client_.post(*to, wire::raftPath, std::move(bytes), timeout, yield);
         if (!response.ok()) {
             link.queue.clear();
+            link.queuedBytes = 0;
         }
     }
     link.sending = false;
--- a/src/coordination/consensus/PeerLinks.h
+++ b/src/coordination/consensus/PeerLinks.h
@@ -30,9 +30,12 @@
     struct Link
     {
         std::deque<RaftMessage> queue;
+        std::size_t queuedBytes = 0; ///< payloads only
         bool sending = false;
     };
 
+    static RaftMessage takeFirst(Link &link);
+    static RaftBatch takeBatch(Link &link);
     void sendQueued(const std::string &address, Yield yield);
 
     asio::io_context &context_;
--- a/src/coordination/consensus/Raft.cpp
+++ b/src/coordination/consensus/Raft.cpp
@@ -6,6 +6,16 @@
 
 namespace kumquat {
 
+namespace {
+
+bool isFromLeader(const RaftMessage &message)
+{
+    return message.type == RaftMessageType::append || message.type == RaftMessageType::snapshot
+        || message.type == RaftMessageType::snapshotPart;
+}
+
+} // namespace
+
 const char *raftRoleName(RaftRole role)
 {
     static const char *const names[] = { "follower", "pre-candidate", "candidate", "leader" };
@@ -264,8 +274,7 @@
 // A member without a group adopts the epoch of the leader that has added it.
 bool Raft::adoptOrCheckEpoch(const RaftMessage &message)
 {
-    if (hardState_.epoch == 0
-        && (message.type == RaftMessageType::append || message.type == RaftMessageType::snapshot)) {
+    if (hardState_.epoch == 0 && isFromLeader(message)) {
         hardState_.epoch = message.epoch;
         saveHardState();
     }
@@ -284,14 +293,12 @@
     const bool isPreVote
         = message.type == RaftMessageType::preVote || message.type == RaftMessageType::preVoteReply;
     if (message.term > hardState_.term && !isPreVote) {
-        const bool fromLeader
-            = message.type == RaftMessageType::append || message.type == RaftMessageType::snapshot;
         const bool isDisruptive = message.type == RaftMessageType::vote
             && now - lastLeaderContact_ < options_.minElectionTimeout && leaderId_ != 0;
         if (isDisruptive) {
             return;
         }
-        becomeFollower(message.term, fromLeader ? message.from : 0, now);
+        becomeFollower(message.term, isFromLeader(message) ? message.from : 0, now);
     }
     switch (message.type) {
     case RaftMessageType::preVote:
@@ -311,6 +318,12 @@
     case RaftMessageType::snapshot:
         receiveSnapshot(message, now);
         break;
+    case RaftMessageType::snapshotPart:
+        receiveSnapshotPart(message, now);
+        break;
+    case RaftMessageType::snapshotPartReply:
+        receiveSnapshotPartReply(message, now);
+        break;
     case RaftMessageType::timeoutNow:
         campaign(false, now);
         break;
@@ -375,6 +388,15 @@
     }
 }
 
+void Raft::followLeader(const RaftMessage &message, TimePoint now)
+{
+    if (role_ != RaftRole::follower || leaderId_ != message.from) {
+        becomeFollower(message.term, message.from, now);
+    }
+    lastLeaderContact_ = now;
+    resetElectionTimer(now);
+}
+
 void Raft::receiveAppend(const RaftMessage &message, TimePoint now)
 {
     RaftMessage reply = makeMessage(RaftMessageType::appendReply, message.from);
@@ -383,11 +405,7 @@
         output_.messagesAfterStore.push_back(reply);
         return;
     }
-    if (role_ != RaftRole::follower || leaderId_ != message.from) {
-        becomeFollower(message.term, message.from, now);
-    }
-    lastLeaderContact_ = now;
-    resetElectionTimer(now);
+    followLeader(message, now);
     const bool isInSnapshot = message.index < log_.snapshot().index;
     const bool matches = isInSnapshot
         || (log_.contains(message.index) && log_.termAt(message.index) == message.logTerm);
@@ -396,6 +414,7 @@
         output_.messagesAfterStore.push_back(reply);
         return;
     }
+    partialSnapshot_.reset();
     for (const LogEntry &entry : message.entries) {
         const bool known = entry.index <= log_.snapshot().index
             || (log_.contains(entry.index) && log_.termAt(entry.index) == entry.term);
@@ -423,6 +442,9 @@
     if (message.granted) {
         progress.matchIndex = std::max(progress.matchIndex, message.index);
         progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
+        if (progress.snapshot && progress.matchIndex >= progress.snapshot->index) {
+            progress.snapshot = nullptr;
+        }
         advanceCommit(now);
     } else {
         progress.nextIndex
@@ -435,33 +457,4 @@
     }
 }
 
-void Raft::receiveSnapshot(const RaftMessage &message, TimePoint now)
-{
-    if (message.term < hardState_.term) {
-        return;
-    }
-    if (role_ != RaftRole::follower || leaderId_ != message.from) {
-        becomeFollower(message.term, message.from, now);
-    }
-    lastLeaderContact_ = now;
-    resetElectionTimer(now);
-    RaftMessage reply = makeMessage(RaftMessageType::appendReply, message.from);
-    reply.round = message.round;
-    reply.granted = true;
-    reply.index = std::max(commitIndex_, message.snapshot.index);
-    if (message.snapshot.index > commitIndex_) {
-        log_.installSnapshot(message.snapshot);
-        refreshMembers();
-        commitIndex_ = message.snapshot.index;
-        appliedIndex_ = commitIndex_;
-        storedIndex_ = commitIndex_;
-        output_.entries = log_.slice(log_.firstIndex(), SIZE_MAX);
-        snapshotInstalled_ = true;
-        ++snapshotCounts_.installed;
-        output_.installedSnapshot = message.snapshot;
-        output_.storedIndex = log_.lastIndex();
-    }
-    output_.messagesAfterStore.push_back(reply);
-}
-
 } // namespace kumquat
--- a/src/coordination/consensus/Raft.h
+++ b/src/coordination/consensus/Raft.h
@@ -31,7 +31,10 @@
     /// have an active leader refuse the pre-vote.
     Milliseconds minFirstElectionTimeout { 60 };
     Milliseconds maxFirstElectionTimeout { 360 };
-    std::size_t maxAppendBytes = 512 * 1024;
+    std::size_t maxAppendBytes = 256 * 1024;
+    std::size_t maxSnapshotPartBytes = 256 * 1024;
+    /// Commands beyond it are refused until earlier ones are committed; one is always taken.
+    std::size_t maxUncommittedBytes = 8 * 1024 * 1024;
     std::uint64_t seed = 0;
     std::size_t maxVoters = 0; ///< further members stay learners; 0: no limit
 };
@@ -42,10 +45,10 @@
     std::vector<RaftMessage> immediateMessages; ///< may be sent before anything is stored
     std::optional<HardState> hardState;
     std::vector<LogEntry> entries; ///< to store; each replaces the stored entries from its index on
-    std::optional<LogSnapshot> installedSnapshot; ///< replaces the stored log
+    bool snapshotInstalled = false; ///< the log, as it is now, replaces the stored one
     std::vector<RaftMessage> messagesAfterStore;
     std::uint64_t storedIndex = 0; ///< index of the last entry in `entries`
-    bool mustStore() const { return hardState || !entries.empty() || installedSnapshot; }
+    bool mustStore() const { return hardState || !entries.empty() || snapshotInstalled; }
 };
 
 enum class MembershipStep { added, promoted, removed };
@@ -83,8 +86,9 @@
     void tick(TimePoint now);
     void receive(const RaftMessage &message, TimePoint now);
 
-    /// Appends a command and returns its index; fails with ErrorKind::notLeader. Until it is
-    /// committed, another leader's entry may replace it.
+    /// Appends a command and returns its index; fails with ErrorKind::notLeader, or with
+    /// ErrorKind::unavailable while too much waits to be committed. Until it is committed, another
+    /// leader's entry may replace it.
     absl::StatusOr<std::uint64_t> propose(std::string command, TimePoint now);
 
     /// Returns the work that has accumulated since the last call.
@@ -93,15 +97,16 @@
     /// Reports that the log up to \p index is on disk; \p term is the term of its last entry.
     void markStored(std::uint64_t index, std::uint64_t term, TimePoint now);
 
-    /// Returns the entries committed since the last call and counts them as applied.
-    std::vector<LogEntry> takeCommitted();
+    /// Returns the next committed entries, up to \p maxBytes but at least one if there is any, and
+    /// counts them as applied.
+    std::vector<LogEntry> takeCommitted(std::size_t maxBytes);
 
     /// Returns true once after a snapshot from the leader has replaced this member's log; the
     /// caller must then restore the state from log().snapshot().
     bool takeSnapshotInstalled() { return std::exchange(snapshotInstalled_, false); }
 
     /// Replaces the log up to \p index by a snapshot with \p data; it must be applied already.
-    LogSnapshot compact(std::uint64_t index, std::string data);
+    void compact(std::uint64_t index, std::string data);
 
     /// Calls \p done(true) once a majority has confirmed, after this call, that this member
     /// still leads; done(false) if it is not the leader.
@@ -140,7 +145,18 @@
         TimePoint lastSent;
         TimePoint since; ///< when this leader began to send to it
         std::uint64_t sentBytes = 0; ///< of entries and snapshots
-        bool inFlight = false; ///< entries or a snapshot were sent and not answered
+        bool inFlight = false; ///< entries or a part of a snapshot were sent and not answered
+        std::size_t inFlightBytes = 0;
+        std::shared_ptr<const LogSnapshot> snapshot; ///< being sent in parts, or null
+        std::uint64_t snapshotOffset = 0; ///< of the next part
+    };
+
+    /// A snapshot of which a leader has sent some parts.
+    struct PartialSnapshot
+    {
+        MemberId leader = 0;
+        std::uint64_t leaderTerm = 0;
+        LogSnapshot received;
     };
 
     struct PendingRead
@@ -164,6 +180,12 @@
     void receiveAppend(const RaftMessage &message, TimePoint now);
     void receiveAppendReply(const RaftMessage &message, TimePoint now);
     void receiveSnapshot(const RaftMessage &message, TimePoint now);
+    void receiveSnapshotPart(const RaftMessage &message, TimePoint now);
+    void receiveSnapshotPartReply(const RaftMessage &message, TimePoint now);
+    void installSnapshot(LogSnapshot snapshot);
+    void replyToSnapshot(const RaftMessage &message);
+    void followLeader(const RaftMessage &message, TimePoint now);
+    std::uint64_t takePart(const RaftMessage &message);
     void receiveJoin(const RaftMessage &message, TimePoint now);
     bool adoptOrCheckEpoch(const RaftMessage &message);
 
@@ -173,7 +195,12 @@
     void advanceMembership(TimePoint now);
     bool isMembershipCommitted() const;
     bool addLearner(TimePoint now);
+    bool isResponsive(MemberId id, TimePoint now) const;
     bool isCaughtUp(MemberId id, TimePoint now) const;
+    std::uint64_t lagBytes(std::uint64_t matchIndex) const;
+    bool mayBePromoted(const GroupMember &learner, TimePoint now) const;
+    const GroupMember *predecessorOf(const GroupMember &learner) const;
+    const GroupMember *voterWithLostDisk(TimePoint now) const;
     std::size_t votersIn(const std::string &failureDomain) const;
     const GroupMember *learnerToPromote(TimePoint now) const;
     const GroupMember *unresponsiveMember(bool voter, Milliseconds longerThan, TimePoint now) const;
@@ -181,6 +208,7 @@
     void noteMembership(MembershipStep step, const GroupMember &member, TimePoint now);
     void promoteToVoter(MemberId id, TimePoint now);
     void sendAppend(const GroupMember &member, TimePoint now);
+    void sendSnapshot(const GroupMember &member, TimePoint now);
     void broadcast(TimePoint now);
     void advanceCommit(TimePoint now);
     void confirmReads(TimePoint now);
@@ -213,6 +241,7 @@
     std::uint64_t heartbeatRound_ = 0;
     std::uint64_t termStartIndex_ = 0; ///< of the first entry of this leader's term
     bool snapshotInstalled_ = false;
+    std::optional<PartialSnapshot> partialSnapshot_;
     std::vector<MembershipNote> notes_;
     SnapshotCounts snapshotCounts_;
     RaftOutput output_;
--- a/src/coordination/consensus/RaftLog.cpp
+++ b/src/coordination/consensus/RaftLog.cpp
@@ -17,7 +17,7 @@
 
 std::uint64_t RaftLog::bytesUpTo(std::uint64_t index) const
 {
-    if (index <= snapshot_.index || entries_.empty()) {
+    if (index <= snapshot_->index || entries_.empty()) {
         return removedBytes_;
     }
     return entries_[std::min(index, lastIndex()) - firstIndex()].bytesUpTo;
@@ -25,21 +25,21 @@
 
 std::uint64_t RaftLog::termAt(std::uint64_t index) const
 {
-    if (index == snapshot_.index) {
-        return snapshot_.term;
+    if (index == snapshot_->index) {
+        return snapshot_->term;
     }
     return at(index).term;
 }
 
 const LogEntry &RaftLog::at(std::uint64_t index) const
 {
-    KUMQUAT_ASSERT(index > snapshot_.index && index <= lastIndex(), std::to_string(index));
+    KUMQUAT_ASSERT(index > snapshot_->index && index <= lastIndex(), std::to_string(index));
     return entries_[index - firstIndex()].entry;
 }
 
 void RaftLog::put(LogEntry entry)
 {
-    KUMQUAT_ASSERT(entry.index > snapshot_.index && entry.index <= lastIndex() + 1,
+    KUMQUAT_ASSERT(entry.index > snapshot_->index && entry.index <= lastIndex() + 1,
                    std::to_string(entry.index));
     entries_.resize(entry.index - firstIndex());
     totalBytes_ = (entries_.empty() ? removedBytes_ : entries_.back().bytesUpTo) + bytesOf(entry);
@@ -63,19 +63,19 @@
 
 std::uint64_t RaftLog::latestMembersIndex() const
 {
-    for (std::uint64_t index = lastIndex(); index > snapshot_.index; --index) {
+    for (std::uint64_t index = lastIndex(); index > snapshot_->index; --index) {
         if (at(index).type == EntryType::membership) {
             return index;
         }
     }
-    return snapshot_.index;
+    return snapshot_->index;
 }
 
 std::vector<GroupMember> RaftLog::latestMembers() const
 {
     const std::uint64_t index = latestMembersIndex();
-    if (index == snapshot_.index) {
-        return snapshot_.members;
+    if (index == snapshot_->index) {
+        return snapshot_->members;
     }
     const auto members = unpack<std::vector<GroupMember>>(at(index).payload);
     KUMQUAT_ASSERT(members.ok(), "a membership entry cannot be unpacked");
@@ -93,7 +93,7 @@
         removedBytes_ = entries_.front().bytesUpTo;
         entries_.pop_front();
     }
-    snapshot_ = std::move(snapshot);
+    snapshot_ = std::make_shared<const LogSnapshot>(std::move(snapshot));
 }
 
 } // namespace kumquat
--- a/src/coordination/consensus/RaftLog.h
+++ b/src/coordination/consensus/RaftLog.h
@@ -6,14 +6,15 @@
 #include "protocol/RaftMessage.h"
 
 #include <deque>
+#include <memory>
 
 namespace kumquat {
 
 class RaftLog
 {
 public:
-    std::uint64_t firstIndex() const { return snapshot_.index + 1; }
-    std::uint64_t lastIndex() const { return snapshot_.index + entries_.size(); }
+    std::uint64_t firstIndex() const { return snapshot_->index + 1; }
+    std::uint64_t lastIndex() const { return snapshot_->index + entries_.size(); }
     /// Bytes that the entries after \p index take in memory; of all of them if the snapshot covers
     /// it.
     std::uint64_t bytesAfter(std::uint64_t index) const { return totalBytes_ - bytesUpTo(index); }
@@ -22,7 +23,7 @@
     /// True for the last entry that the snapshot covers and for the entries after it.
     bool contains(std::uint64_t index) const
     {
-        return index >= snapshot_.index && index <= lastIndex();
+        return index >= snapshot_->index && index <= lastIndex();
     }
     /// The term of an entry for which contains() is true; 0 for index 0.
     std::uint64_t termAt(std::uint64_t index) const;
@@ -38,7 +39,9 @@
     std::vector<GroupMember> latestMembers() const;
     std::uint64_t latestMembersIndex() const;
 
-    const LogSnapshot &snapshot() const { return snapshot_; }
+    const LogSnapshot &snapshot() const { return *snapshot_; }
+    /// Never null; stays as it is when a newer snapshot replaces it here.
+    std::shared_ptr<const LogSnapshot> sharedSnapshot() const { return snapshot_; }
     /// Replaces the log up to the snapshot's index; keeps later entries only if the log has an
     /// entry with the snapshot's index and term.
     void installSnapshot(LogSnapshot snapshot);
@@ -53,7 +56,7 @@
 
     std::uint64_t bytesUpTo(std::uint64_t index) const;
 
-    LogSnapshot snapshot_;
+    std::shared_ptr<const LogSnapshot> snapshot_ = std::make_shared<LogSnapshot>();
     std::deque<HeldEntry> entries_;
     std::uint64_t removedBytes_ = 0; ///< of entries that the snapshot covers
     std::uint64_t totalBytes_ = 0;
--- a/src/coordination/consensus/RaftMembership.cpp
+++ b/src/coordination/consensus/RaftMembership.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::uint64_t maxLearnerLag = 50; ///< in log entries
+constexpr std::uint64_t maxLearnerLagBytes = 1024 * 1024;
 constexpr Milliseconds maxContactAge { 1'000 };
 /// Short, so that a replacement votes within seconds and the group tolerates a second failure.
 constexpr Milliseconds replaceVoterAfter { 1'500 };
@@ -22,6 +23,12 @@
 {
     const GroupMember *known = findMember(message.joiningMember.id);
     if (isLeader() && message.joiningMember.id != 0 && (known == nullptr || !known->voter)) {
+        // An address has one disk at a time, so a new identity there ends the earlier ones.
+        for (auto joining = joiningMembers_.begin(); joining != joiningMembers_.end();) {
+            const bool isOther = joining->first != message.joiningMember.id
+                && joining->second.address == message.joiningMember.address;
+            joining = isOther ? joiningMembers_.erase(joining) : std::next(joining);
+        }
         joiningMembers_[message.joiningMember.id] = message.joiningMember;
         advanceMembership(now);
     }
@@ -49,15 +56,40 @@
     broadcast(now);
 }
 
+bool Raft::isResponsive(MemberId id, TimePoint now) const
+{
+    const auto found = progress_.find(id);
+    return found != progress_.end() && found->second.ackedRound > 0
+        && now - found->second.lastContact < maxContactAge;
+}
+
+// Of what must be sent to a member whose log agrees up to \p matchIndex.
+std::uint64_t Raft::lagBytes(std::uint64_t matchIndex) const
+{
+    const LogSnapshot &snapshot = log_.snapshot();
+    return log_.bytesAfter(matchIndex) + (matchIndex < snapshot.index ? snapshot.data.size() : 0);
+}
+
 bool Raft::isCaughtUp(MemberId id, TimePoint now) const
 {
     const auto found = progress_.find(id);
-    if (found == progress_.end()) {
+    if (found == progress_.end() || !isResponsive(id, now)) {
         return false;
     }
-    const Progress &progress = found->second;
-    return progress.matchIndex + maxLearnerLag >= log_.lastIndex()
-        && now - progress.lastContact < maxContactAge && progress.matchIndex > 0;
+    const std::uint64_t matchIndex = found->second.matchIndex;
+    return matchIndex > 0 && matchIndex + maxLearnerLag >= log_.lastIndex()
+        && lagBytes(matchIndex) <= maxLearnerLagBytes;
+}
+
+// With an even number of voters, one more does not raise the number that a majority needs, so the
+// group can do no less with a voter that still gets the log than without it. It can do more: the
+// votes of the new voter and of one other are a majority as soon as the log is sent. With an odd
+// number the majority grows, so the new voter must be caught up.
+bool Raft::mayBePromoted(const GroupMember &learner, TimePoint now) const
+{
+    return !learner.voter && joiningMembers_.count(learner.id) > 0
+        && (isCaughtUp(learner.id, now)
+            || (voterCount() % 2 == 0 && isResponsive(learner.id, now)));
 }
 
 std::size_t Raft::votersIn(const std::string &failureDomain) const
@@ -68,21 +100,56 @@
         }));
 }
 
-// Returns a joining learner that is caught up, from the failure domain with the fewest voters.
+// Returns a joining learner, rather one that is caught up, from the failure domain with the fewest
+// voters.
 const GroupMember *Raft::learnerToPromote(TimePoint now) const
 {
+    const auto rank = [this, now](const GroupMember &member) {
+        return std::make_pair(isCaughtUp(member.id, now) ? 0 : 1, votersIn(member.failureDomain));
+    };
     const GroupMember *best = nullptr;
     for (const GroupMember &member : members_) {
-        if (member.voter || joiningMembers_.count(member.id) == 0 || !isCaughtUp(member.id, now)) {
-            continue;
-        }
-        if (best == nullptr || votersIn(member.failureDomain) < votersIn(best->failureDomain)) {
+        if (mayBePromoted(member, now) && (best == nullptr || rank(member) < rank(*best))) {
             best = &member;
         }
     }
     return best;
 }
 
+// Returns the member whose place \p learner takes, or null.
+const GroupMember *Raft::predecessorOf(const GroupMember &learner) const
+{
+    for (const GroupMember &member : members_) {
+        const bool sameNameOrAddress
+            = member.name == learner.name || member.address == learner.address;
+        if (sameNameOrAddress && member.id != learner.id && member.id != self_.id) {
+            return &member;
+        }
+    }
+    return nullptr;
+}
+
+// Returns a silent voter in whose place a learner responds: it has lost its disk. To remove it at
+// once lowers neither safety nor liveness: it would never vote or store anything again, a majority
+// without it needs no more of the others than before, and the removal is itself an entry that both
+// majorities store. If it should return after all, it joins again.
+const GroupMember *Raft::voterWithLostDisk(TimePoint now) const
+{
+    for (const GroupMember &learner : members_) {
+        if (learner.voter || joiningMembers_.count(learner.id) == 0
+            || !isResponsive(learner.id, now)) {
+            continue;
+        }
+        const GroupMember *lost = predecessorOf(learner);
+        const auto progress = lost == nullptr ? progress_.end() : progress_.find(lost->id);
+        if (progress != progress_.end() && lost->voter
+            && now - progress->second.lastContact > options_.minElectionTimeout) {
+            return lost;
+        }
+    }
+    return nullptr;
+}
+
 // Returns another member, a voter or a learner, that has not answered for too long.
 const GroupMember *Raft::unresponsiveMember(bool voter, Milliseconds longerThan,
                                             TimePoint now) const
@@ -105,7 +172,7 @@
     note.step = step;
     note.member = member;
     note.lagEntries = log_.lastIndex() - std::min(log_.lastIndex(), progress.matchIndex);
-    note.lagBytes = log_.bytesAfter(progress.matchIndex);
+    note.lagBytes = lagBytes(progress.matchIndex);
     note.sentBytes = progress.sentBytes;
     note.elapsed = std::chrono::duration_cast<Milliseconds>(now - progress.since);
     notes_.push_back(std::move(note));
@@ -156,18 +223,18 @@
     if (!isLeader() || joiningMembers_.empty() || !isMembershipCommitted() || addLearner(now)) {
         return;
     }
+    const GroupMember *lost = voterWithLostDisk(now);
+    if (lost != nullptr) {
+        removeMember(lost->id, now);
+        return;
+    }
     const GroupMember *learner = learnerToPromote(now);
     if (learner == nullptr) {
         return;
     }
     // The replaced identity is removed before the new one may vote.
-    const auto replaced = std::find_if(
-        members_.begin(), members_.end(), [this, learner](const GroupMember &member) {
-            const bool sameNameOrAddress
-                = member.name == learner->name || member.address == learner->address;
-            return sameNameOrAddress && member.id != learner->id && member.id != self_.id;
-        });
-    if (replaced != members_.end()) {
+    const GroupMember *replaced = predecessorOf(*learner);
+    if (replaced != nullptr) {
         removeMember(replaced->id, now);
         return;
     }
--- a/src/coordination/consensus/RaftReplication.cpp
+++ b/src/coordination/consensus/RaftReplication.cpp
@@ -1,5 +1,5 @@
-// Log replication by the leader, the commit index, snapshots, reads confirmed by a majority, and
-// leadership transfer.
+// Log replication by the leader, the commit index, reads confirmed by a majority, and leadership
+// transfer.
 #include "coordination/consensus/Raft.h"
 
 #include "protocol/Codec.h"
@@ -11,6 +11,13 @@
 namespace {
 
 constexpr Milliseconds resendAfter { 300 };
+/// A slower link than this takes what is sent again for lost.
+constexpr std::size_t minLinkBytesPerMillisecond = 1024;
+
+Milliseconds resendDelay(std::size_t bytes)
+{
+    return resendAfter + Milliseconds(bytes / minLinkBytesPerMillisecond);
+}
 
 } // namespace
 
@@ -20,6 +27,11 @@
         return makeError(ErrorKind::notLeader, "this member is not the leader",
                          "send the command to the leader");
     }
+    const std::uint64_t waitingBytes = log_.bytesAfter(commitIndex_);
+    if (waitingBytes > 0 && waitingBytes + command.size() > options_.maxUncommittedBytes) {
+        return makeError(ErrorKind::unavailable, "too many bytes wait to be committed",
+                         "send the command again when a majority of the members responds");
+    }
     LogEntry entry;
     entry.index = log_.lastIndex() + 1;
     entry.term = hardState_.term;
@@ -39,14 +51,7 @@
     Progress &progress = progress_[member.id];
     progress.lastSent = now;
     if (progress.nextIndex < log_.firstIndex()) {
-        RaftMessage request = makeMessage(RaftMessageType::snapshot, member.id);
-        request.snapshot = log_.snapshot();
-        request.round = heartbeatRound_;
-        progress.inFlight = true;
-        progress.sentBytes += request.snapshot.data.size();
-        ++snapshotCounts_.sent;
-        snapshotCounts_.sentBytes += request.snapshot.data.size();
-        output_.immediateMessages.push_back(std::move(request));
+        sendSnapshot(member, now);
         return;
     }
     RaftMessage request = makeMessage(RaftMessageType::append, member.id);
@@ -56,9 +61,8 @@
     request.round = heartbeatRound_;
     request.entries = log_.slice(progress.nextIndex, options_.maxAppendBytes);
     progress.inFlight = !request.entries.empty();
-    for (const LogEntry &entry : request.entries) {
-        progress.sentBytes += entry.payload.size();
-    }
+    progress.inFlightBytes = payloadBytes(request);
+    progress.sentBytes += progress.inFlightBytes;
     // Sent before the leader has stored the entries itself: a commit needs a majority of stored
     // copies, and the leader's own copy counts only once it is stored.
     output_.immediateMessages.push_back(std::move(request));
@@ -73,7 +77,7 @@
             continue;
         }
         Progress &progress = progress_[member.id];
-        if (progress.inFlight && now - progress.lastSent < resendAfter) {
+        if (progress.inFlight && now - progress.lastSent < resendDelay(progress.inFlightBytes)) {
             RaftMessage heartbeat = makeMessage(RaftMessageType::append, member.id);
             heartbeat.index = progress.matchIndex;
             if (!log_.contains(heartbeat.index)) {
@@ -126,34 +130,18 @@
     }
 }
 
-std::vector<LogEntry> Raft::takeCommitted()
+std::vector<LogEntry> Raft::takeCommitted(std::size_t maxBytes)
 {
     std::vector<LogEntry> result;
-    while (appliedIndex_ < commitIndex_) {
+    std::size_t bytes = 0;
+    while (appliedIndex_ < commitIndex_ && bytes < maxBytes) {
         ++appliedIndex_;
         result.push_back(log_.at(appliedIndex_));
+        bytes += result.back().payload.size();
     }
     return result;
 }
 
-LogSnapshot Raft::compact(std::uint64_t index, std::string data)
-{
-    KUMQUAT_ASSERT(index <= appliedIndex_ && index >= log_.snapshot().index, std::to_string(index));
-    LogSnapshot snapshot;
-    snapshot.epoch = hardState_.epoch;
-    snapshot.index = index;
-    snapshot.term = log_.termAt(index);
-    snapshot.data = std::move(data);
-    snapshot.members = log_.snapshot().members;
-    for (std::uint64_t i = log_.firstIndex(); i <= index; ++i) {
-        if (log_.at(i).type == EntryType::membership) {
-            snapshot.members = *unpack<std::vector<GroupMember>>(log_.at(i).payload);
-        }
-    }
-    log_.installSnapshot(snapshot);
-    return snapshot;
-}
-
 // Reads.
 
 void Raft::confirmLeadership(std::function<void(bool)> done, TimePoint now)
--- a/src/protocol/RaftMessage.h
+++ b/src/protocol/RaftMessage.h
@@ -66,6 +66,8 @@
     snapshot,
     join,
     timeoutNow,
+    snapshotPart, ///< `snapshot` holds a part of its data only
+    snapshotPartReply,
 };
 
 struct RaftMessage
@@ -86,10 +88,22 @@
     std::vector<LogEntry> entries;
     LogSnapshot snapshot;
     GroupMember joiningMember;
+    std::uint64_t offset = 0; ///< of the part in the snapshot's data; in replies, of the next part
+    std::uint64_t totalBytes = 0; ///< of the snapshot's data
     MSGPACK_DEFINE(type, epoch, term, from, fromAddress, to, index, logTerm, commit, round, granted,
-                   entries, snapshot, joiningMember)
+                   entries, snapshot, joiningMember, offset, totalBytes)
 };
 
+/// Bytes of the entries and of the part of a snapshot that \p message carries.
+inline std::size_t payloadBytes(const RaftMessage &message)
+{
+    std::size_t bytes = message.snapshot.data.size();
+    for (const LogEntry &entry : message.entries) {
+        bytes += entry.payload.size() + sizeof(LogEntry);
+    }
+    return bytes;
+}
+
 } // namespace kumquat
 
 MSGPACK_ADD_ENUM(kumquat::EntryType);
--- a/src/state/ControlState.cpp
+++ b/src/state/ControlState.cpp
@@ -2,6 +2,8 @@
 
 #include "protocol/Codec.h"
 
+#include <tuple>
+
 namespace kumquat {
 
 namespace {
@@ -41,7 +43,7 @@
 
 std::string ControlState::save() const
 {
-    return pack(SavedState { configuration_, once_ });
+    return pack(std::tie(configuration_, once_)); // an array of two, as SavedState is
 }
 
 absl::Status ControlState::restore(const std::string &data)
--- a/src/state/Disk.cpp
+++ b/src/state/Disk.cpp
@@ -2,6 +2,7 @@
 
 #include "kumquat/Error.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
@@ -81,6 +82,36 @@
         return content.str();
     }
 
+    std::optional<std::uint64_t> size(const std::string &name) const
+    {
+        std::error_code error;
+        const std::uint64_t bytes = std::filesystem::file_size(path_ + "/" + name, error);
+        return error ? std::nullopt : std::optional<std::uint64_t>(bytes);
+    }
+
+    std::string readPart(const std::string &name, std::uint64_t offset, std::size_t maxBytes) const
+    {
+        std::ifstream stream(path_ + "/" + name, std::ios::binary);
+        std::string part(maxBytes, '\0');
+        stream.seekg(static_cast<std::streamoff>(offset));
+        stream.read(&part[0], static_cast<std::streamsize>(maxBytes));
+        part.resize(static_cast<std::size_t>(std::max<std::streamsize>(0, stream.gcount())));
+        return part;
+    }
+
+    absl::Status truncate(const std::string &name, std::uint64_t bytes)
+    {
+        const std::string file = path_ + "/" + name;
+        const FileDescriptor descriptor(::open(file.c_str(), O_WRONLY | O_CLOEXEC));
+        if (descriptor.value() < 0) {
+            return storageError("open", file);
+        }
+        if (::ftruncate(descriptor.value(), static_cast<off_t>(bytes)) != 0) {
+            return storageError("truncate", file);
+        }
+        return ::fsync(descriptor.value()) == 0 ? absl::OkStatus() : unknownContents("sync", file);
+    }
+
     absl::Status append(const std::string &name, const std::string &bytes)
     {
         auto &openFile = openFiles_[name];
@@ -155,6 +186,13 @@
     }
     const auto files = std::make_shared<Folder>(folder);
     disk.read = [files](const std::string &name) { return files->read(name); };
+    disk.size = [files](const std::string &name) { return files->size(name); };
+    disk.readPart = [files](const std::string &name, std::uint64_t offset, std::size_t maxBytes) {
+        return files->readPart(name, offset, maxBytes);
+    };
+    disk.truncate = [files](const std::string &name, std::uint64_t bytes) {
+        return files->truncate(name, bytes);
+    };
     disk.append = [files](const std::string &name, const std::string &bytes) {
         return files->append(name, bytes);
     };
--- a/src/state/Disk.h
+++ b/src/state/Disk.h
@@ -5,6 +5,7 @@
 /// Any error but ErrorKind::storageFull leaves the contents of the file unknown.
 
 #include <absl/status/status.h>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -15,6 +16,13 @@
 {
     /// The content of a file; nothing if it does not exist.
     std::function<std::optional<std::string>(const std::string &name)> read;
+    /// The length of a file; nothing if it does not exist.
+    std::function<std::optional<std::uint64_t>(const std::string &name)> size;
+    /// At most \p maxBytes of a file from \p offset on; fewer at its end.
+    std::function<std::string(const std::string &name, std::uint64_t offset, std::size_t maxBytes)>
+        readPart;
+    /// Shortens a file to its first \p bytes; durable on return.
+    std::function<absl::Status(const std::string &name, std::uint64_t bytes)> truncate;
     /// Appends to a file; durable only after sync(). ErrorKind::storageFull: part of the bytes may
     /// have been appended.
     std::function<absl::Status(const std::string &name, const std::string &bytes)> append;
--- a/src/state/LogStore.cpp
+++ b/src/state/LogStore.cpp
@@ -47,22 +47,42 @@
     return frameRecord(pack(record));
 }
 
+RecordHooks hooksFor(const Disk &disk, const std::string &name)
+{
+    RecordHooks hooks;
+    hooks.read = [&disk, name](std::uint64_t offset, std::size_t maxBytes) {
+        return disk.readPart(name, offset, maxBytes);
+    };
+    return hooks;
+}
+
 template <typename Message>
-bool readSingle(const std::string &content, Message &message)
+bool readSingle(const Disk &disk, const std::string &name, std::uint64_t bytes, Message &message)
 {
-    const RecordFileContent file = readRecords(content);
-    if (file.records.size() != 1) {
-        return false;
-    }
-    auto read = unpack<Message>(file.records[0]);
-    if (read.ok()) {
-        message = std::move(*read);
-    }
-    return read.ok();
+    int records = 0;
+    RecordHooks hooks = hooksFor(disk, name);
+    hooks.onRecord = [&](const std::string &record) {
+        auto read = unpack<Message>(record);
+        if (read.ok()) {
+            message = std::move(*read);
+        }
+        return read.ok() && ++records == 1;
+    };
+    const RecordScan scan = scanRecords(bytes, hooks);
+    return records == 1 && !scan.damaged;
+}
+
+// A packed LogRecord begins with a short array, a small number and the array of the hard state.
+bool mayBeLogRecord(const char *bytes, std::size_t length)
+{
+    const auto isShortArray
+        = [](char byte) { return (static_cast<unsigned char>(byte) & 0xf0U) == 0x90U; };
+    return length >= 3 && isShortArray(bytes[0]) && static_cast<unsigned char>(bytes[1]) < 0x10U
+        && isShortArray(bytes[2]);
 }
 
 // Applies a record to the state of the records before it; false if it leaves a gap in the log.
-bool replay(const LogRecord &record, StoredState &state)
+bool replay(LogRecord record, StoredState &state)
 {
     if (record.type == RecordType::hardState) {
         state.hardState = record.hardState;
@@ -77,7 +97,7 @@
         return false;
     }
     state.entries.resize(index - first);
-    state.entries.push_back(record.entry);
+    state.entries.push_back(std::move(record.entry));
     return true;
 }
 
@@ -93,38 +113,45 @@
 absl::StatusOr<StoredState> LogStore::load()
 {
     StoredState state;
-    const auto identity = disk_.read(identityFile);
-    const auto log = disk_.read(logFile);
-    if (!identity) {
-        state.damaged = log.has_value();
+    const auto identityBytes = disk_.size(identityFile);
+    const auto logFileBytes = disk_.size(logFile);
+    if (!identityBytes) {
+        state.damaged = logFileBytes.has_value();
         return state;
     }
-    if (!log || !readSingle(*identity, state.identity)) {
+    if (!logFileBytes || !readSingle(disk_, identityFile, *identityBytes, state.identity)) {
         return damagedState();
     }
-    const auto snapshot = disk_.read(snapshotFile);
-    if (snapshot && !readSingle(*snapshot, state.snapshot)) {
+    const auto snapshotBytes = disk_.size(snapshotFile);
+    if (snapshotBytes && !readSingle(disk_, snapshotFile, *snapshotBytes, state.snapshot)) {
         return damagedState();
     }
-    loadedBytes_ = identity->size() + log->size() + (snapshot ? snapshot->size() : 0);
-    const RecordFileContent file = readRecords(*log);
-    logBytes_ = file.validBytes;
-    if (file.damaged || file.records.empty()) {
+    loadedBytes_ = *identityBytes + *logFileBytes + snapshotBytes.value_or(0);
+    RecordHooks hooks = hooksFor(disk_, logFile);
+    hooks.mayBeRecord = mayBeLogRecord;
+    hooks.onRecord = [&state](const std::string &bytes) {
+        auto record = unpack<LogRecord>(bytes);
+        return record.ok() && replay(std::move(*record), state);
+    };
+    const RecordScan scan = scanRecords(*logFileBytes, hooks);
+    if (scan.damaged || scan.validBytes == 0) {
         return damagedState();
     }
-    for (const std::string &bytes : file.records) {
-        const auto record = unpack<LogRecord>(bytes);
-        if (!record.ok() || !replay(*record, state)) {
-            return damagedState();
-        }
+    logBytes_ = scan.validBytes;
+    return cutTornTail(scan.validBytes, *logFileBytes, std::move(state));
+}
+
+absl::StatusOr<StoredState> LogStore::cutTornTail(std::uint64_t validBytes, std::uint64_t fileBytes,
+                                                  StoredState state)
+{
+    if (validBytes == fileBytes) {
+        return state;
     }
-    if (file.validBytes < log->size()) {
-        const absl::Status cut = disk_.replace(logFile, log->substr(0, file.validBytes));
-        if (!cut.ok() && !isError(cut, ErrorKind::storageFull)) {
-            return cut;
-        }
-        mustReplace_ = !cut.ok();
+    const absl::Status cut = disk_.truncate(logFile, validBytes);
+    if (!cut.ok() && !isError(cut, ErrorKind::storageFull)) {
+        return cut;
     }
+    mustReplace_ = !cut.ok();
     return state;
 }
 
--- a/src/state/LogStore.h
+++ b/src/state/LogStore.h
@@ -50,6 +50,8 @@
 
 private:
     absl::Status write(const std::string &bytes);
+    absl::StatusOr<StoredState> cutTornTail(std::uint64_t validBytes, std::uint64_t fileBytes,
+                                            StoredState state);
 
     Disk disk_;
     std::uint64_t syncs_ = 0;
--- a/test/failure/ControlGroupFuzz.cpp
+++ b/test/failure/ControlGroupFuzz.cpp
@@ -155,6 +155,31 @@
     STRCMP_EQUAL("", violation.c_str());
 }
 
+// Logs are compacted after a few commands, and snapshots cross the links in many parts.
+static GroupSimulationOptions largeCommandOptions()
+{
+    GroupSimulationOptions options;
+    options.changeBytes = 3'000;
+    options.minCompactedBytes = 6'000;
+    options.maxSnapshotPartBytes = 1'000;
+    options.fillDisks = true;
+    return options;
+}
+
+TEST(ControlGroupFuzz, SafetyHoldsWithLargeCommands)
+{
+    const std::string violation = firstViolation(largeCommandOptions(), seedCount(60), 60);
+    STRCMP_EQUAL("", violation.c_str());
+}
+
+TEST(ControlGroupFuzz, SafetyHoldsWithLargeCommandsAndFiveMembers)
+{
+    GroupSimulationOptions options = largeCommandOptions();
+    options.members = 5;
+    const std::string violation = firstViolation(options, seedCount(20), 50);
+    STRCMP_EQUAL("", violation.c_str());
+}
+
 TEST(ControlGroupFuzz, DetectsIgnoredSyncs)
 {
     GroupSimulationOptions options;
--- a/test/failure/GroupSimulation.cpp
+++ b/test/failure/GroupSimulation.cpp
@@ -1,6 +1,7 @@
 #include "failure/GroupSimulation.h"
 
 #include <absl/strings/str_cat.h>
+#include <xxhash.h>
 
 namespace kumquat::test {
 
@@ -8,11 +9,6 @@
 
 constexpr Milliseconds tickInterval { 20 };
 
-std::string addressOf(int member)
-{
-    return absl::StrCat("member-", member);
-}
-
 OnceRequest onceRequest(OnceOperation operation, int key, std::uint64_t attempt)
 {
     OnceRequest request;
@@ -35,6 +31,15 @@
     return operationsLeft_-- > 0;
 }
 
+void FaultyDisk::notePeak(std::size_t replacementBytes)
+{
+    std::size_t bytes = replacementBytes;
+    for (const auto &entry : files_) {
+        bytes += entry.second.written.size();
+    }
+    peakBytes_ = std::max(peakBytes_, bytes);
+}
+
 Disk FaultyDisk::hooks()
 {
     const auto crashed = [] { return makeError(ErrorKind::storageFailed, "crash", "restart"); };
@@ -44,6 +49,22 @@
         return found == files_.end() ? std::nullopt
                                      : std::optional<std::string>(found->second.written);
     };
+    disk.size = [this](const std::string &name) {
+        const auto found = files_.find(name);
+        return found == files_.end() ? std::nullopt
+                                     : std::optional<std::uint64_t>(found->second.written.size());
+    };
+    disk.readPart = [this](const std::string &name, std::uint64_t offset, std::size_t maxBytes) {
+        return files_[name].written.substr(static_cast<std::size_t>(offset), maxBytes);
+    };
+    disk.truncate = [this, crashed](const std::string &name, std::uint64_t bytes) {
+        if (!consumeOperation()) {
+            return crashed();
+        }
+        files_[name].written.resize(static_cast<std::size_t>(bytes));
+        files_[name].synced = files_[name].written;
+        return absl::OkStatus();
+    };
     const auto full = [] { return makeError(ErrorKind::storageFull, "full", "free space"); };
     disk.append = [this, crashed, full](const std::string &name, const std::string &bytes) {
         if (isFull_) {
@@ -51,6 +72,7 @@
             return full();
         }
         files_[name].written += bytes;
+        notePeak(0);
         return consumeOperation() ? absl::OkStatus() : crashed();
     };
     disk.sync = [this, crashed](const std::string &name) {
@@ -69,6 +91,7 @@
         if (!consumeOperation()) {
             return crashed();
         }
+        notePeak(bytes.size());
         files_[name] = { bytes, bytes };
         return absl::OkStatus();
     };
@@ -102,6 +125,11 @@
 
 // The simulation.
 
+std::string GroupSimulation::addressOf(int member)
+{
+    return absl::StrCat("member-", member);
+}
+
 GroupSimulation::GroupSimulation(GroupSimulationOptions options)
     : options_(options), random_(options.seed), members_(static_cast<std::size_t>(options.members))
 {
@@ -151,6 +179,8 @@
     options.address = addressOf(index);
     options.seed = random_();
     options.snapshotEveryEntries = options_.snapshotEveryEntries;
+    options.minCompactedBytes = options_.minCompactedBytes;
+    options.raft.maxSnapshotPartBytes = options_.maxSnapshotPartBytes;
     options.maxOnceRecords = 1'000;
     for (int other = 0; other < options_.members; ++other) {
         if (other != index) {
@@ -212,25 +242,6 @@
     });
 }
 
-void GroupSimulation::deliver(int from, const std::string &address, const RaftMessage &message)
-{
-    for (int to = 0; to < options_.members; ++to) {
-        if (addressOf(to) != address || cutLinks_[{ from, to }]) {
-            continue;
-        }
-        std::uniform_real_distribution<double> share(0, 1);
-        int copies = share(random_) < options_.lossRate ? 0 : 1;
-        copies += share(random_) < options_.duplicateRate ? 1 : 0;
-        for (int copy = 0; copy < copies; ++copy) {
-            const Microseconds delay(200 + static_cast<int>(randomBelow(random_, 4'000)));
-            schedule(delay, [this, to, message] {
-                runOnMember(to, members_[static_cast<std::size_t>(to)].generation,
-                            [this, to, message] { node(to)->receive(message); });
-            });
-        }
-    }
-}
-
 void GroupSimulation::run(Milliseconds duration)
 {
     const TimePoint end = now_ + duration;
@@ -393,7 +404,9 @@
     ControlCommand command;
     command.change.id = id;
     command.change.base = base;
-    command.change.writes.push_back({ absl::StrCat(id, ".json"), "{}" });
+    // The same for a change that is sent again.
+    const std::string padding(XXH64(id.data(), id.size(), 0) % (options_.changeBytes - 1), ' ');
+    command.change.writes.push_back({ absl::StrCat(id, ".json"), "{" + padding + "}" });
     propose(through, command, [this, id](const absl::StatusOr<ControlResult> &result) {
         if (!result.ok()) {
             return;
--- a/test/failure/GroupSimulation.h
+++ b/test/failure/GroupSimulation.h
@@ -26,6 +26,9 @@
     void setFull(bool full) { isFull_ = full; }
     /// After \p operations more operations, one fails and crashes the process; -1: none fails.
     void failAfter(int operations) { operationsLeft_ = operations; }
+    /// The most bytes that all files took at once, with a file's replacement beside it.
+    std::size_t peakBytes() const { return peakBytes_; }
+    void forgetPeak() { peakBytes_ = 0; }
 
 private:
     struct File
@@ -35,7 +38,9 @@
     };
     /// Counts an operation; false if it is the one to fail.
     bool consumeOperation();
+    void notePeak(std::size_t replacementBytes);
 
+    std::size_t peakBytes_ = 0;
     std::map<std::string, File> files_;
     int operationsLeft_ = -1;
     bool ignoresSyncs_ = false;
@@ -52,9 +57,13 @@
     double lossRate = 0.02;
     double duplicateRate = 0.02;
     std::uint64_t snapshotEveryEntries = 40;
+    std::uint64_t minCompactedBytes = GroupNodeOptions().minCompactedBytes;
+    std::size_t maxSnapshotPartBytes = RaftOptions().maxSnapshotPartBytes;
+    std::size_t changeBytes = 2; ///< of the file that change() writes, at most and at random
     int initialMembers = 0; ///< number of members that bootstrap the group; 0: member 0 forms it
     int maxVoters = 0; ///< 0: no limit
     Milliseconds startWindow { 0 }; ///< members start at random times within it
+    double linkBytesPerSecond = 0; ///< that a member can send in all; 0: no limit
 };
 
 class GroupSimulation
@@ -86,6 +95,17 @@
     void release(int key, std::uint64_t attempt, int through);
     void complete(int key, std::uint64_t attempt, int through);
     void readVersion(int through);
+    void sendDocument(std::uint64_t version, std::size_t bytes, int through);
+    void readDocument(int through);
+
+    std::uint64_t highestAcceptedDocument() const { return highestAcceptedDocument_; }
+    std::uint64_t highestReadDocument() const { return highestReadDocument_; }
+    /// Null while the member is down.
+    const GroupNode *member(int index) const
+    {
+        return members_[static_cast<std::size_t>(index)].node.get();
+    }
+    FaultyDisk &disk(int index) { return members_[static_cast<std::size_t>(index)].disk; }
 
     /// True when every member runs and the group has all its voters.
     bool isHealthy() const;
@@ -120,9 +140,11 @@
         }
     };
 
+    static std::string addressOf(int member);
     void schedule(Clock::duration delay, std::function<void()> action);
     void runOnMember(int member, int generation, std::function<void()> action);
     void deliver(int from, const std::string &address, const RaftMessage &message);
+    std::optional<Clock::duration> transmissionDelay(int from, const RaftMessage &message);
     void start(int member);
     void setInitialMembers(int member, GroupNodeOptions &options);
     bool hasAllVoters() const;
@@ -139,12 +161,15 @@
     std::uint64_t nextSequence_ = 0;
     std::vector<Member> members_;
     std::map<std::pair<int, int>, bool> cutLinks_;
+    std::map<int, TimePoint> linkBusyUntil_; ///< by sender
 
     // The reference model.
     std::string violation_;
     std::map<std::uint64_t, std::string> accepted_; ///< change by version number
     std::map<std::string, ChangeResult> results_;
     std::uint64_t highestAccepted_ = 0;
+    std::uint64_t highestAcceptedDocument_ = 0;
+    std::uint64_t highestReadDocument_ = 0;
     std::map<int, std::uint64_t> grantedTo_; ///< attempt that a key was granted to
     std::map<std::uint64_t, bool> released_;
     std::size_t grants_ = 0;
