Log: a reply to a heartbeat does not answer entries still on their way

What callers saw: on a slow link large documents were committed ever more slowly, and a member with an empty disk got its log late. Cause: each heartbeat's reply (10/s) cleared 'in flight', so the same 256 to 512 KiB were sent again while the first copy was on its way.

--- a/src/coordination/consensus/Raft.cpp
+++ b/src/coordination/consensus/Raft.cpp
@@ -437,7 +437,10 @@
     }
     Progress &progress = found->second;
     progress.lastContact = now;
-    progress.inFlight = false;
+    // The reply to a heartbeat says nothing about entries that are still on their way; to send them
+    // again with each heartbeat would fill a slow link.
+    progress.inFlight
+        = progress.inFlight && message.granted && message.index < progress.inFlightIndex;
     progress.ackedRound = std::max(progress.ackedRound, message.round);
     if (message.granted) {
         progress.matchIndex = std::max(progress.matchIndex, message.index);
@@ -452,7 +455,8 @@
     }
     confirmReads(now);
     const GroupMember *member = findMember(message.from);
-    if (isLeader() && member != nullptr && progress.nextIndex <= log_.lastIndex()) {
+    if (isLeader() && member != nullptr && !progress.inFlight
+        && progress.nextIndex <= log_.lastIndex()) {
         sendAppend(*member, now);
     }
 }
--- a/src/coordination/consensus/Raft.h
+++ b/src/coordination/consensus/Raft.h
@@ -146,6 +146,7 @@
         TimePoint since; ///< when this leader began to send to it
         std::uint64_t sentBytes = 0; ///< of entries and snapshots
         bool inFlight = false; ///< entries or a part of a snapshot were sent and not answered
+        std::uint64_t inFlightIndex = 0; ///< that a reply must have reached to answer it
         std::size_t inFlightBytes = 0;
         std::shared_ptr<const LogSnapshot> snapshot; ///< being sent in parts, or null
         std::uint64_t snapshotOffset = 0; ///< of the next part
--- a/src/coordination/consensus/RaftReplication.cpp
+++ b/src/coordination/consensus/RaftReplication.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr Milliseconds resendAfter { 300 };
+/// Less than a heartbeat's interval, so that a lost small message is sent again with the next one.
+constexpr Milliseconds resendAfter { 60 };
 /// A slower link than this takes what is sent again for lost.
 constexpr std::size_t minLinkBytesPerMillisecond = 1024;
 
@@ -61,6 +62,7 @@
     request.round = heartbeatRound_;
     request.entries = log_.slice(progress.nextIndex, options_.maxAppendBytes);
     progress.inFlight = !request.entries.empty();
+    progress.inFlightIndex = request.index + request.entries.size();
     progress.inFlightBytes = payloadBytes(request);
     progress.sentBytes += progress.inFlightBytes;
     // Sent before the leader has stored the entries itself: a commit needs a majority of stored
--- a/src/coordination/consensus/RaftSnapshots.cpp
+++ b/src/coordination/consensus/RaftSnapshots.cpp
@@ -65,6 +65,7 @@
     request.snapshot.data
         = snapshot.data.substr(progress.snapshotOffset, options_.maxSnapshotPartBytes);
     progress.inFlight = true;
+    progress.inFlightIndex = snapshot.index;
     progress.inFlightBytes = payloadBytes(request);
     progress.sentBytes += progress.inFlightBytes;
     snapshotCounts_.sentBytes += progress.inFlightBytes;
