--- a/test/failure/GroupSimulation.cpp
+++ b/test/failure/GroupSimulation.cpp
@@ -1,6 +1,7 @@
 #include "failure/GroupSimulation.h"
 
 #include <absl/strings/str_cat.h>
+#include <xxhash.h>
 
 namespace kumquat::test {
 
@@ -8,11 +9,6 @@
 
 constexpr Milliseconds tickInterval { 20 };
 
-std::string addressOf(int member)
-{
-    return absl::StrCat("member-", member);
-}
-
 OnceRequest onceRequest(OnceOperation operation, int key, std::uint64_t attempt)
 {
     OnceRequest request;
@@ -25,83 +21,13 @@
 
 } // namespace
 
-// The disk.
-
-bool FaultyDisk::consumeOperation()
-{
-    if (operationsLeft_ < 0) {
-        return true;
-    }
-    return operationsLeft_-- > 0;
-}
-
-Disk FaultyDisk::hooks()
-{
-    const auto crashed = [] { return makeError(ErrorKind::storageFailed, "crash", "restart"); };
-    Disk disk;
-    disk.read = [this](const std::string &name) {
-        const auto found = files_.find(name);
-        return found == files_.end() ? std::nullopt
-                                     : std::optional<std::string>(found->second.written);
-    };
-    const auto full = [] { return makeError(ErrorKind::storageFull, "full", "free space"); };
-    disk.append = [this, crashed, full](const std::string &name, const std::string &bytes) {
-        if (isFull_) {
-            files_[name].written += bytes.substr(0, bytes.size() / 2);
-            return full();
-        }
-        files_[name].written += bytes;
-        return consumeOperation() ? absl::OkStatus() : crashed();
-    };
-    disk.sync = [this, crashed](const std::string &name) {
-        if (!consumeOperation()) {
-            return crashed();
-        }
-        if (!ignoresSyncs_) {
-            files_[name].synced = files_[name].written;
-        }
-        return absl::OkStatus();
-    };
-    disk.replace = [this, crashed, full](const std::string &name, const std::string &bytes) {
-        if (isFull_) {
-            return full();
-        }
-        if (!consumeOperation()) {
-            return crashed();
-        }
-        files_[name] = { bytes, bytes };
-        return absl::OkStatus();
-    };
-    return disk;
-}
-
-void FaultyDisk::crash(Random &random)
-{
-    operationsLeft_ = -1;
-    for (auto &entry : files_) {
-        File &file = entry.second;
-        // Part of the unsynced tail may have reached the disk, with its last record torn.
-        const std::size_t unsynced = file.written.size() - file.synced.size();
-        const std::size_t kept = ignoresSyncs_ ? 0 : randomBelow(random, unsynced + 1);
-        file.written.resize(file.synced.size() + kept);
-        file.synced = file.written;
-    }
-}
+// The simulation.
 
-void FaultyDisk::eraseAllButIdentity(std::uint64_t epoch)
+std::string GroupSimulation::addressOf(int member)
 {
-    const File identity = files_["identity"];
-    files_.clear();
-    LogStore store(hooks());
-    (void)store.create(1);
-    HardState hardState;
-    hardState.epoch = epoch;
-    (void)store.append(&hardState, {});
-    files_["identity"] = identity;
+    return absl::StrCat("member-", member);
 }
 
-// The simulation.
-
 GroupSimulation::GroupSimulation(GroupSimulationOptions options)
     : options_(options), random_(options.seed), members_(static_cast<std::size_t>(options.members))
 {
@@ -151,6 +77,8 @@
     options.address = addressOf(index);
     options.seed = random_();
     options.snapshotEveryEntries = options_.snapshotEveryEntries;
+    options.minCompactedBytes = options_.minCompactedBytes;
+    options.raft.maxSnapshotPartBytes = options_.maxSnapshotPartBytes;
     options.maxOnceRecords = 1'000;
     for (int other = 0; other < options_.members; ++other) {
         if (other != index) {
@@ -212,25 +140,6 @@
     });
 }
 
-void GroupSimulation::deliver(int from, const std::string &address, const RaftMessage &message)
-{
-    for (int to = 0; to < options_.members; ++to) {
-        if (addressOf(to) != address || cutLinks_[{ from, to }]) {
-            continue;
-        }
-        std::uniform_real_distribution<double> share(0, 1);
-        int copies = share(random_) < options_.lossRate ? 0 : 1;
-        copies += share(random_) < options_.duplicateRate ? 1 : 0;
-        for (int copy = 0; copy < copies; ++copy) {
-            const Microseconds delay(200 + static_cast<int>(randomBelow(random_, 4'000)));
-            schedule(delay, [this, to, message] {
-                runOnMember(to, members_[static_cast<std::size_t>(to)].generation,
-                            [this, to, message] { node(to)->receive(message); });
-            });
-        }
-    }
-}
-
 void GroupSimulation::run(Milliseconds duration)
 {
     const TimePoint end = now_ + duration;
@@ -393,7 +302,9 @@
     ControlCommand command;
     command.change.id = id;
     command.change.base = base;
-    command.change.writes.push_back({ absl::StrCat(id, ".json"), "{}" });
+    // The same for a change that is sent again.
+    const std::string padding(XXH64(id.data(), id.size(), 0) % (options_.changeBytes - 1), ' ');
+    command.change.writes.push_back({ absl::StrCat(id, ".json"), "{" + padding + "}" });
     propose(through, command, [this, id](const absl::StatusOr<ControlResult> &result) {
         if (!result.ok()) {
             return;
