Placement: a route whose objective no target can meet is served

Cause: with so short an objective the first try is the last one, and a request whose expected time far exceeds its objective is refused at the last try; the service time that says so is learned from the route's own first response and never changes. Without the guard PlacementChoices.aRouteWhoseObjectiveNoTargetCanMeetIsServed fails at its first check. Change: such a route's requests are placed like those without an objective.

--- a/include/kumquat/Placement.h
+++ b/include/kumquat/Placement.h
@@ -48,6 +48,8 @@
 {
     std::chrono::microseconds baselineServiceTime { 0 }; ///< at a slowdown of 1; 0: unknown
     std::chrono::microseconds untilObjective { 0 }; ///< negative when it has passed
+    /// Of the route; one that no target could ever meet must not make all its requests futile.
+    std::chrono::microseconds objective = std::chrono::microseconds::max();
 };
 
 /// True when a target with this \p slowdown would miss the latency objective, but a fast target
--- a/src/coordination/entry/HostRoutePlacement.cpp
+++ b/src/coordination/entry/HostRoutePlacement.cpp
@@ -38,7 +38,8 @@
 {
     const auto end = request.arrival + request.route->configuration.latencyObjective;
     return { request.route->runtime->baselineServiceTime.mean(),
-             std::chrono::duration_cast<Microseconds>(end - Clock::now()) };
+             std::chrono::duration_cast<Microseconds>(end - Clock::now()),
+             request.route->configuration.latencyObjective };
 }
 
 /// Probes the most promising targets of \p scope and returns the best one; does not acquire it.
--- a/src/coordination/policy/Placement.cpp
+++ b/src/coordination/policy/Placement.cpp
@@ -131,6 +131,9 @@
 
 bool farExceedsObjective(double slowdown, const RequestTiming &timing)
 {
+    if (!canMeetObjective({ timing.baselineServiceTime, timing.objective })) {
+        return false;
+    }
     const double expectedTime = static_cast<double>(timing.baselineServiceTime.count()) * slowdown;
     return expectedTime
         > maxObjectiveOvershoot * static_cast<double>(timing.untilObjective.count());
--- a/test/correctness/PlacementChoices.cpp
+++ b/test/correctness/PlacementChoices.cpp
@@ -111,6 +111,17 @@
     CHECK_FALSE(farExceedsObjective(4, { Milliseconds(0), Milliseconds(200) }));
 }
 
+// A route with a latency objective of 1 or 5 ms was refused for good after its first response.
+TEST(PlacementChoices, aRouteWhoseObjectiveNoTargetCanMeetIsServed)
+{
+    for (const Milliseconds objective : { Milliseconds(0), Milliseconds(5), Milliseconds(15) }) {
+        const RequestTiming timing { Milliseconds(10), objective - Milliseconds(1), objective };
+        CHECK_FALSE(farExceedsObjective(2, timing));
+    }
+    const RequestTiming attainable { Milliseconds(10), Milliseconds(1), Milliseconds(20) };
+    CHECK_TRUE(farExceedsObjective(2, attainable));
+}
+
 TEST(PlacementChoices, retryDelaysAreSpreadAndShorterThanTheObjective)
 {
     constexpr Milliseconds objective { 400 };
