Bootstrap: a kill amid the first writes leaves no member that never votes

Operators saw: all three members killed within 50 ms of their first start and started again, and no document was confirmed from then on.

Cause: the founding was five separate replaces. A log without an identity counted as damaged and got a random identity; an identity stored before the membership and the epoch neither voted nor founded. Found beside it: a kill amid the repair of a damaged log left the old identity beside a new, empty log, so that an initial member could vote twice.

An identity from before is made unreadable first. A disk without an identity is damaged only if its log holds more than create() writes: nothing was sent before the identity was durable, so the member may begin anew. With a first start the member founds under its own identity, without one it joins under a random one.

Ruled out: a vote before a kill. The identity is durable before the first message, and settings after a lost disk don't ask for a first start.

--- a/src/coordination/consensus/GroupNode.cpp
+++ b/src/coordination/consensus/GroupNode.cpp
@@ -119,7 +119,10 @@
 }
 
 // Each initial member stores the same membership independently, so that none waits for another;
-// the group works as soon as a majority of them runs.
+// the group works as soon as a majority of them runs. The settings may ask for a first start again
+// after a kill. The disk is then empty only if the identity was never stored, so this member has
+// neither voted nor acknowledged anything: a disk that is lost later comes with settings that
+// don't.
 absl::Status GroupNode::bootstrap(StoredState &state)
 {
     state.identity = initialMemberId(options_.address);
@@ -130,10 +133,11 @@
     for (const std::string &address : options_.initialMembers) {
         state.snapshot.members.push_back({ initialMemberId(address), address, address, true, "" });
     }
-    absl::Status status = store_.create(state.identity);
-    status.Update(store_.replace(state.snapshot, state.hardState, {}));
-    logEvent(Event::groupFormed, LogLevel::info, "member={} founders={}", options_.name,
-             options_.initialMembers.size());
+    absl::Status status = store_.create(state.identity, state.snapshot, state.hardState);
+    if (status.ok()) {
+        logEvent(Event::groupFormed, LogLevel::info, "member={} founders={}", options_.name,
+                 options_.initialMembers.size());
+    }
     return status;
 }
 
--- a/src/state/LogStore.cpp
+++ b/src/state/LogStore.cpp
@@ -101,6 +101,13 @@
     return true;
 }
 
+// A log without an identity is no longer than this if create() was interrupted; a log that holds a
+// vote or an entry is longer, and its identity was lost.
+std::uint64_t createdLogBytes()
+{
+    return framedRecord(HardState { 1, 1, 0 }).size();
+}
+
 StoredState damagedState()
 {
     StoredState state;
@@ -116,7 +123,7 @@
     const auto identityBytes = disk_.size(identityFile);
     const auto logFileBytes = disk_.size(logFile);
     if (!identityBytes) {
-        state.damaged = logFileBytes.has_value();
+        state.damaged = logFileBytes.value_or(0) > createdLogBytes();
         return state;
     }
     if (!logFileBytes || !readSingle(disk_, identityFile, *identityBytes, state.identity)) {
@@ -155,12 +162,22 @@
     return state;
 }
 
-absl::Status LogStore::create(MemberId identity)
+// The identity is written last, and a member sends nothing before, so a disk without one counts as
+// empty. An identity from before is made unreadable first: beside the new, empty log it would let
+// its member vote twice.
+absl::Status LogStore::create(MemberId identity, const LogSnapshot &snapshot,
+                              const HardState &hardState)
 {
-    // The identity is written last: load() requires a log wherever there is an identity.
-    absl::Status status = disk_.replace(snapshotFile, frameRecord(pack(LogSnapshot())));
-    status.Update(disk_.replace(logFile, framedRecord(HardState())));
-    status.Update(disk_.replace(identityFile, frameRecord(pack(identity))));
+    absl::Status status;
+    if (disk_.size(identityFile)) {
+        status = disk_.replace(identityFile, "");
+    }
+    if (status.ok()) {
+        status = replace(snapshot, hardState, {});
+    }
+    if (status.ok()) {
+        status = disk_.replace(identityFile, frameRecord(pack(identity)));
+    }
     return status;
 }
 
--- a/src/state/LogStore.h
+++ b/src/state/LogStore.h
@@ -28,8 +28,10 @@
     /// Reads the stored state; truncates a torn write at the end of the log.
     absl::StatusOr<StoredState> load();
 
-    /// Initialises the disk for \p identity and discards what was stored.
-    absl::Status create(MemberId identity);
+    /// Initialises the disk for \p identity and discards what was stored. Until it has succeeded,
+    /// load() yields no identity.
+    absl::Status create(MemberId identity, const LogSnapshot &snapshot = LogSnapshot(),
+                        const HardState &hardState = HardState());
 
     /// Appends \p hardState, unless null, and \p entries; durable on return. Must not be called
     /// while mustReplace().
