Group: forming one is confirmed only once it is stored

Callers saw: "formed" as the response to the method `form`, and after a kill at that moment a member that belongs to no group.

Cause: the response was sent when the group was in memory, before its first entry was synced.

Change: GroupNode::formGroup() takes a hook that gets the result once the first entry is durable; an error still comes at once. While the disk doesn't take the write, `form` gets no response, as other changes do.

Tried first and given up: a response once the entry is committed.

--- a/src/coordination/consensus/GroupNode.cpp
+++ b/src/coordination/consensus/GroupNode.cpp
@@ -141,15 +141,19 @@
     return status;
 }
 
-absl::Status GroupNode::formGroup()
+void GroupNode::formGroup(std::function<void(const absl::Status &)> done)
 {
     const auto epoch = static_cast<std::uint64_t>(hooks_.wallNow().count());
-    const absl::Status formed = raft_->formGroup(epoch, hooks_.now());
-    if (formed.ok()) {
-        logEvent(Event::groupFormed, LogLevel::info, "epoch={}", epoch);
+    const absl::Status status = raft_->formGroup(epoch, hooks_.now());
+    if (!status.ok()) {
+        done(status);
+        return;
     }
+    formed_ = [epoch, done = std::move(done)](const absl::Status &stored) {
+        logEvent(Event::groupFormed, LogLevel::info, "epoch={}", epoch);
+        done(stored);
+    };
     processOutput();
-    return formed;
 }
 
 void GroupNode::tick()
--- a/src/coordination/consensus/GroupNode.h
+++ b/src/coordination/consensus/GroupNode.h
@@ -60,8 +60,9 @@
     /// other cases an empty or damaged disk gets a new random identity, which has to join.
     absl::Status start();
 
-    /// Makes this member the only member of a new group.
-    absl::Status formGroup();
+    /// Makes this member the only member of a new group; \p done gets the result once the group is
+    /// stored, or at once an error if the member already belongs to a group.
+    void formGroup(std::function<void(const absl::Status &)> done);
 
     /// Must be called every few tens of milliseconds.
     void tick();
@@ -105,6 +106,7 @@
     void collectOutput();
     void writePending();
     void onStored(const RaftOutput &output, const absl::Status &status);
+    void markStored(std::uint64_t lastIndex, std::uint64_t lastTerm);
     void onDiskFull(const absl::Status &status);
     void replaceStore();
     void onReplaced(std::uint64_t lastIndex, std::uint64_t lastTerm, const absl::Status &status);
@@ -131,6 +133,7 @@
     RaftOutput pendingOutput_;
     bool mustWriteAnew_ = false; ///< a snapshot was taken, to be stored with the next write
     bool isWriting_ = false;
+    std::function<void(const absl::Status &)> formed_; ///< set while a new group is being stored
     bool isDiskFull_ = false; ///< nothing is stored or acknowledged until a replacement succeeds
     TimePoint nextReplaceAt_; ///< while the disk is full
     bool isProcessing_ = false;
--- a/src/coordination/consensus/GroupNodeStorage.cpp
+++ b/src/coordination/consensus/GroupNodeStorage.cpp
@@ -62,12 +62,23 @@
     isWriting_ = false;
     if (!output.entries.empty()) {
         const LogEntry &last = output.entries.back();
-        raft_->markStored(last.index, last.term, hooks_.now());
+        markStored(last.index, last.term);
     }
     sendMessages(output.messagesAfterStore);
     processOutput();
 }
 
+// A member that forms a group had no entries before, so the first that are stored hold the group.
+void GroupNode::markStored(std::uint64_t lastIndex, std::uint64_t lastTerm)
+{
+    raft_->markStored(lastIndex, lastTerm, hooks_.now());
+    if (formed_ && lastIndex > 0) {
+        const auto formed = std::move(formed_);
+        formed_ = nullptr;
+        formed(absl::OkStatus());
+    }
+}
+
 void GroupNode::onDiskFull(const absl::Status &status)
 {
     isWriting_ = false;
@@ -111,7 +122,7 @@
     isWriting_ = false;
     isDiskFull_ = false;
     logEvent(Event::diskWritable, LogLevel::info, "member={} index={}", options_.name, lastIndex);
-    raft_->markStored(lastIndex, lastTerm, hooks_.now());
+    markStored(lastIndex, lastTerm);
     processOutput();
 }
 
--- a/src/coordination/control/ControlOperations.cpp
+++ b/src/coordination/control/ControlOperations.cpp
@@ -78,13 +78,16 @@
 
 Json::Value ControlServer::rpcForm(const Json::Value &)
 {
-    return runOnLoop([this] {
-        Json::Value result;
-        const absl::Status formed = node_->formGroup();
-        result["formed"] = formed.ok();
-        result["message"] = std::string(formed.message());
-        return result;
+    auto promise = std::make_shared<std::promise<absl::Status>>();
+    auto future = promise->get_future();
+    asio::post(loop_, [this, promise] {
+        node_->formGroup([promise](const absl::Status &status) { promise->set_value(status); });
     });
+    const absl::Status formed = waitFor(future);
+    Json::Value result;
+    result["formed"] = formed.ok();
+    result["message"] = std::string(formed.message());
+    return result;
 }
 
 Json::Value ControlServer::rpcStatus(const Json::Value &)
--- a/test/failure/BootstrapInterrupted.cpp
+++ b/test/failure/BootstrapInterrupted.cpp
@@ -156,3 +156,38 @@
     CHECK_TRUE(restarted.start().ok());
     CHECK_TRUE(restarted.isVoter());
 }
+
+TEST(BootstrapInterrupted, aGroupIsFormedOnlyOnceItIsStored)
+{
+    FaultyDisk disk;
+    TimePoint now(Seconds(1'000));
+    std::deque<std::function<void()>> writes;
+    GroupNodeHooks hooks = virtualHooks();
+    hooks.now = [&now] { return now; };
+    hooks.runDiskWork = [&writes](std::function<absl::Status()> work,
+                                  const std::function<void(absl::Status)> &done) {
+        writes.emplace_back([work = std::move(work), done] { done(work()); });
+    };
+    GroupNode node(laterMember(), disk.hooks(), hooks);
+    CHECK_TRUE(node.start().ok());
+    bool formed = false;
+    node.formGroup([&formed](const absl::Status &status) { formed = status.ok(); });
+    for (int tick = 0; tick < 500; ++tick, now += Milliseconds(20)) {
+        node.tick();
+    }
+    CHECK_FALSE(formed);
+    for (int tick = 0; tick < 500 && !formed; ++tick, now += Milliseconds(20)) {
+        while (!writes.empty()) {
+            const std::function<void()> write = std::move(writes.front());
+            writes.pop_front();
+            write();
+        }
+        node.tick();
+    }
+    CHECK_TRUE(formed);
+    Random random(1);
+    disk.crash(random);
+    GroupNode restarted(laterMember(), disk.hooks(), virtualHooks());
+    CHECK_TRUE(restarted.start().ok());
+    CHECK_TRUE(restarted.isVoter());
+}
--- a/test/failure/GroupSimulation.cpp
+++ b/test/failure/GroupSimulation.cpp
@@ -44,7 +44,7 @@
         }
     }
     if (options_.initialMembers == 0) {
-        (void)node(0)->formGroup();
+        node(0)->formGroup([](const absl::Status &) {});
     }
     run(Seconds(5));
 }
