Documents: one that is sent again waits for the commit of its first copy

Operators saw nothing; members saw their log grow: while a group could not commit, each copy of a document that was sent again was proposed again, up to 16 MiB each, from every member to which it was sent.

Change: the leader keeps the proposals of its term by version. Another order for the version waits for the same commit, for as long as before, and gets the same response. The texts need not be compared: whichever is committed first is in force, and the others are confirmed and change nothing. A new term proposes anew, since the proposal may be lost.

--- a/src/coordination/control/ControlDocuments.cpp
+++ b/src/coordination/control/ControlDocuments.cpp
@@ -195,16 +195,65 @@
     if (configuration.hasDocument() && version <= configuration.documentVersion()) {
         return textResponse(http::status::ok, "{}");
     }
+    const auto proposal = proposeDocument(version, text);
+    return waitForDocument(*proposal, yield)
+        ? textResponse(http::status::ok, "{}")
+        : unavailableResponse("the group has not committed the document yet");
+}
+
+// Operators without a response send the same document again each second, to each member; if each
+// copy were proposed, the log would grow with them while the group can't commit. Whichever text of
+// a version is committed first is in force, so any order for the version may wait for that commit.
+// A proposal of an earlier term may be lost.
+std::shared_ptr<ControlServer::DocumentProposal>
+ControlServer::proposeDocument(std::uint64_t version, const std::string &text)
+{
+    const std::uint64_t term = node_->raft().term();
+    const auto known = documentProposals_.find(version);
+    if (known != documentProposals_.end() && known->second->term == term) {
+        return known->second;
+    }
+    const auto proposal = std::make_shared<DocumentProposal>();
+    proposal->term = term;
+    documentProposals_[version] = proposal;
     ControlCommand command;
     command.type = CommandType::document;
     command.document = { version, text };
-    const auto result = propose(std::move(command), documentCommitTimeout, yield);
-    if (!result.ok()) {
-        return unavailableResponse("the group has not committed the document yet");
+    node_->propose(std::move(command),
+                   [this, version, proposal](absl::StatusOr<ControlResult> result) {
+                       finishDocument(version, proposal, std::move(result));
+                   });
+    return proposal;
+}
+
+void ControlServer::finishDocument(std::uint64_t version,
+                                   const std::shared_ptr<DocumentProposal> &proposal,
+                                   absl::StatusOr<ControlResult> result)
+{
+    if (result.ok()) {
+        logEvent(Event::documentAccepted, LogLevel::info, "version={} number={}", version,
+                 result->change.number);
+    }
+    proposal->result = std::move(result);
+    for (Timer *timer : proposal->waiting) {
+        timer->cancel();
+    }
+    const auto known = documentProposals_.find(version);
+    if (known != documentProposals_.end() && known->second == proposal) {
+        documentProposals_.erase(known);
+    }
+}
+
+bool ControlServer::waitForDocument(DocumentProposal &proposal, Yield yield)
+{
+    if (!proposal.result) {
+        Timer timer(loop_, documentCommitTimeout);
+        ErrorCode ignored;
+        proposal.waiting.insert(&timer);
+        timer.async_wait(yield[ignored]);
+        proposal.waiting.erase(&timer);
     }
-    logEvent(Event::documentAccepted, LogLevel::info, "version={} number={}", version,
-             result->change.number);
-    return textResponse(http::status::ok, "{}");
+    return proposal.result && proposal.result->ok();
 }
 
 HttpResponse ControlServer::readDocument(Yield yield)
--- a/src/coordination/control/ControlServer.h
+++ b/src/coordination/control/ControlServer.h
@@ -36,6 +36,13 @@
         std::uint64_t number = 0;
         TimePoint reportedAt;
     };
+    /// A document that this leader proposed; orders for the same version wait for its result.
+    struct DocumentProposal
+    {
+        std::uint64_t term = 0;
+        std::optional<absl::StatusOr<ControlResult>> result;
+        std::set<Timer *> waiting; ///< cancelled when there is a result
+    };
 
     HttpResponse handle(const HttpRequest &request, Yield yield);
     HttpResponse handleRaft(const HttpRequest &request);
@@ -52,6 +59,11 @@
     void reloadSettings();
     HttpResponse handleDocument(const HttpRequest &request, Yield yield);
     HttpResponse putDocument(std::uint64_t version, const std::string &text, Yield yield);
+    std::shared_ptr<DocumentProposal> proposeDocument(std::uint64_t version,
+                                                      const std::string &text);
+    void finishDocument(std::uint64_t version, const std::shared_ptr<DocumentProposal> &proposal,
+                        absl::StatusOr<ControlResult> result);
+    bool waitForDocument(DocumentProposal &proposal, Yield yield);
     HttpResponse readDocument(Yield yield);
     HttpResponse forwardToLeader(const HttpRequest &request, Yield yield);
     std::vector<FeedMember> feedMembers() const;
@@ -101,6 +113,7 @@
     std::unique_ptr<ControlFeed> feed_; ///< null without seeds
     std::set<Timer *> waitingPolls_; ///< cancelled when the state changes
     std::map<std::string, EntryReport> entryReports_;
+    std::map<std::uint64_t, std::shared_ptr<DocumentProposal>> documentProposals_; ///< by version
     std::uint64_t onceCalls_ = 0;
     ConfigurationVersion packedVersion_; ///< of `packedFiles_`
     std::uint64_t filesServed_ = 0;
