--- a/src/coordination/consensus/GroupNode.cpp
+++ b/src/coordination/consensus/GroupNode.cpp
@@ -119,7 +119,10 @@
 }
 
 // Each initial member stores the same membership independently, so that none waits for another;
-// the group works as soon as a majority of them runs.
+// the group works as soon as a majority of them runs. The settings may ask for a first start again
+// after a kill. The disk is then empty only if the identity was never stored, so this member has
+// neither voted nor acknowledged anything: a disk that is lost later comes with settings that
+// don't.
 absl::Status GroupNode::bootstrap(StoredState &state)
 {
     state.identity = initialMemberId(options_.address);
@@ -130,22 +133,27 @@
     for (const std::string &address : options_.initialMembers) {
         state.snapshot.members.push_back({ initialMemberId(address), address, address, true, "" });
     }
-    absl::Status status = store_.create(state.identity);
-    status.Update(store_.replace(state.snapshot, state.hardState, {}));
-    logEvent(Event::groupFormed, LogLevel::info, "member={} founders={}", options_.name,
-             options_.initialMembers.size());
+    absl::Status status = store_.create(state.identity, state.snapshot, state.hardState);
+    if (status.ok()) {
+        logEvent(Event::groupFormed, LogLevel::info, "member={} founders={}", options_.name,
+                 options_.initialMembers.size());
+    }
     return status;
 }
 
-absl::Status GroupNode::formGroup()
+void GroupNode::formGroup(std::function<void(const absl::Status &)> done)
 {
     const auto epoch = static_cast<std::uint64_t>(hooks_.wallNow().count());
-    const absl::Status formed = raft_->formGroup(epoch, hooks_.now());
-    if (formed.ok()) {
-        logEvent(Event::groupFormed, LogLevel::info, "epoch={}", epoch);
+    const absl::Status status = raft_->formGroup(epoch, hooks_.now());
+    if (!status.ok()) {
+        done(status);
+        return;
     }
+    formed_ = [epoch, done = std::move(done)](const absl::Status &stored) {
+        logEvent(Event::groupFormed, LogLevel::info, "epoch={}", epoch);
+        done(stored);
+    };
     processOutput();
-    return formed;
 }
 
 void GroupNode::tick()
