Found by review: failed reads, long documents, slow readers, many copies on one link

What callers saw: nothing yet; found by reading and by trials on real processes. - A read of the stored log that failed was taken for the end of a torn write: acknowledged entries were cut off and the member kept its vote.

--- a/src/coordination/consensus/Raft.h
+++ b/src/coordination/consensus/Raft.h
@@ -210,6 +210,7 @@
     void promoteToVoter(MemberId id, TimePoint now);
     void sendAppend(const GroupMember &member, TimePoint now);
     void sendSnapshot(const GroupMember &member, TimePoint now);
+    std::size_t inFlightBytes() const;
     void broadcast(TimePoint now);
     void advanceCommit(TimePoint now);
     void confirmReads(TimePoint now);
--- a/src/coordination/consensus/RaftReplication.cpp
+++ b/src/coordination/consensus/RaftReplication.cpp
@@ -70,16 +70,27 @@
     output_.immediateMessages.push_back(std::move(request));
 }
 
+// What is sent to all members leaves over one link.
+std::size_t Raft::inFlightBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &entry : progress_) {
+        bytes += entry.second.inFlight ? entry.second.inFlightBytes : 0;
+    }
+    return bytes;
+}
+
 void Raft::broadcast(TimePoint now)
 {
     nextHeartbeat_ = now + options_.heartbeatInterval;
     ++heartbeatRound_;
+    const Milliseconds resendAfterAll = resendDelay(inFlightBytes());
     for (const GroupMember &member : members_) {
         if (member.id == self_.id) {
             continue;
         }
         Progress &progress = progress_[member.id];
-        if (progress.inFlight && now - progress.lastSent < resendDelay(progress.inFlightBytes)) {
+        if (progress.inFlight && now - progress.lastSent < resendAfterAll) {
             RaftMessage heartbeat = makeMessage(RaftMessageType::append, member.id);
             heartbeat.index = progress.matchIndex;
             if (!log_.contains(heartbeat.index)) {
--- a/src/coordination/control/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -19,7 +19,7 @@
 constexpr char leaderHeader[] = "Kumquat-Leader";
 
 constexpr std::size_t maxAnnouncementBytes = 64 * 1024;
-constexpr std::size_t maxDocumentBytes = 16 * 1024 * 1024;
+constexpr std::size_t maxDocumentBytes = 8 * 1024 * 1024;
 constexpr std::size_t maxInternalBytes = 48 * 1024 * 1024; ///< replicated entries, several together
 
 BodyLimit bodyLimitOf(const http::request_header<> &header)
--- a/src/state/LogStore.cpp
+++ b/src/state/LogStore.cpp
@@ -4,6 +4,8 @@
 #include "protocol/Codec.h"
 #include "state/RecordFile.h"
 
+#include <algorithm>
+
 namespace kumquat {
 
 namespace {
@@ -47,20 +49,46 @@
     return frameRecord(pack(record));
 }
 
-RecordHooks hooksFor(const Disk &disk, const std::string &name)
+// Reads the files of a disk and notes whether a read failed. Such a file must not be taken for one
+// that ends there: what was acknowledged would be cut off.
+class FileReader
 {
-    RecordHooks hooks;
-    hooks.read = [&disk, name](std::uint64_t offset, std::size_t maxBytes) {
-        return disk.readPart(name, offset, maxBytes);
-    };
-    return hooks;
-}
+public:
+    explicit FileReader(const Disk &disk) : disk_(disk) { }
+
+    RecordHooks hooksFor(const std::string &name, std::uint64_t fileBytes)
+    {
+        RecordHooks hooks;
+        hooks.read = [this, name, fileBytes](std::uint64_t offset, std::size_t maxBytes) {
+            std::string part = disk_.readPart(name, offset, maxBytes);
+            const std::uint64_t rest = fileBytes - std::min(fileBytes, offset);
+            if (part.size() < std::min<std::uint64_t>(rest, maxBytes)) {
+                failedFile_ = name;
+            }
+            return part;
+        };
+        return hooks;
+    }
+
+    absl::Status status() const
+    {
+        if (failedFile_.empty()) {
+            return absl::OkStatus();
+        }
+        return makeError(ErrorKind::storageFailed, "cannot read the whole file " + failedFile_,
+                         "check the disk of the data folder, then restart the process");
+    }
+
+private:
+    const Disk &disk_;
+    std::string failedFile_;
+};
 
 template <typename Message>
-bool readSingle(const Disk &disk, const std::string &name, std::uint64_t bytes, Message &message)
+bool readSingle(FileReader &reader, const std::string &name, std::uint64_t bytes, Message &message)
 {
     int records = 0;
-    RecordHooks hooks = hooksFor(disk, name);
+    RecordHooks hooks = reader.hooksFor(name, bytes);
     hooks.onRecord = [&](const std::string &record) {
         auto read = unpack<Message>(record);
         if (read.ok()) {
@@ -108,8 +136,13 @@
     return framedRecord(HardState { 1, 1, 0 }).size();
 }
 
-StoredState damagedState()
+// The state of a damaged disk, unless a read failed: then another start may read it.
+absl::StatusOr<StoredState> damagedUnless(const FileReader &reader)
 {
+    const absl::Status read = reader.status();
+    if (!read.ok()) {
+        return read;
+    }
     StoredState state;
     state.damaged = true;
     return state;
@@ -119,6 +152,7 @@
 
 absl::StatusOr<StoredState> LogStore::load()
 {
+    FileReader reader(disk_);
     StoredState state;
     const auto identityBytes = disk_.size(identityFile);
     const auto logFileBytes = disk_.size(logFile);
@@ -126,23 +160,23 @@
         state.damaged = logFileBytes.value_or(0) > createdLogBytes();
         return state;
     }
-    if (!logFileBytes || !readSingle(disk_, identityFile, *identityBytes, state.identity)) {
-        return damagedState();
+    if (!logFileBytes || !readSingle(reader, identityFile, *identityBytes, state.identity)) {
+        return damagedUnless(reader);
     }
     const auto snapshotBytes = disk_.size(snapshotFile);
-    if (snapshotBytes && !readSingle(disk_, snapshotFile, *snapshotBytes, state.snapshot)) {
-        return damagedState();
+    if (snapshotBytes && !readSingle(reader, snapshotFile, *snapshotBytes, state.snapshot)) {
+        return damagedUnless(reader);
     }
     loadedBytes_ = *identityBytes + *logFileBytes + snapshotBytes.value_or(0);
-    RecordHooks hooks = hooksFor(disk_, logFile);
+    RecordHooks hooks = reader.hooksFor(logFile, *logFileBytes);
     hooks.mayBeRecord = mayBeLogRecord;
     hooks.onRecord = [&state](const std::string &bytes) {
         auto record = unpack<LogRecord>(bytes);
         return record.ok() && replay(std::move(*record), state);
     };
     const RecordScan scan = scanRecords(*logFileBytes, hooks);
-    if (scan.damaged || scan.validBytes == 0) {
-        return damagedState();
+    if (scan.damaged || scan.validBytes == 0 || !reader.status().ok()) {
+        return damagedUnless(reader);
     }
     logBytes_ = scan.validBytes;
     return cutTornTail(scan.validBytes, *logFileBytes, std::move(state));
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -134,16 +134,33 @@
         return false;
     }
     const BodyLimit limit = limits_.body(parser.get());
-    HeldBytes held(limit.isInternal ? internalBytes_ : publicBytes_);
-    if (const auto refused = readBody(*stream, buffer, parser, limit.bytes, held, yield)) {
-        refuse(*stream, *refused, yield);
+    ByteBudget &budget = limit.isInternal ? internalBytes_ : publicBytes_;
+    auto response = respond(*stream, buffer, parser, limit.bytes, budget, yield);
+    HeldBytes held(budget);
+    if (response && !held.growTo(response->body().size())) {
+        refuse(*stream, http::status::service_unavailable, yield);
         return false;
     }
+    return response && write(*stream, std::move(*response), yield);
+}
+
+// Reads the rest of a request and returns its response; nothing if the request was refused.
+std::optional<HttpResponse> HttpServer::respond(TcpStream &stream, beast::flat_buffer &buffer,
+                                                Parser &parser, std::size_t limit,
+                                                ByteBudget &budget, Yield yield)
+{
+    HeldBytes held(budget);
+    if (const auto refused = readBody(stream, buffer, parser, limit, held, yield)) {
+        refuse(stream, *refused, yield);
+        return std::nullopt;
+    }
     const HttpRequest request = parser.release();
-    stream->expires_never();
+    stream.expires_never();
     HttpResponse response = handle(request, yield);
-    const bool keepAlive = request.keep_alive() && !stopping_;
-    return write(*stream, std::move(response), keepAlive, yield);
+    const bool failed = response.result() == http::status::internal_server_error;
+    response.version(11);
+    response.keep_alive(request.keep_alive() && !stopping_ && !failed);
+    return response;
 }
 
 ErrorCode HttpServer::readHeader(const std::shared_ptr<TcpStream> &stream,
@@ -200,7 +217,6 @@
                  exception.what());
         HttpResponse response = textResponse(http::status::internal_server_error,
                                              "{\"error\":\"internal error; see the log\"}\n");
-        response.keep_alive(false);
         response.prepare_payload();
         return response;
     }
@@ -208,20 +224,21 @@
 
 void HttpServer::refuse(TcpStream &stream, http::status status, Yield yield)
 {
-    const bool isSize = status != http::status::bad_request;
-    ++(isSize ? counters_.oversizedRequests : counters_.malformedRequests);
-    const char *remedy = isSize ? "the body is too long; send less, or later"
-                                : "the request is malformed; send well-formed HTTP/1.1";
+    const bool isMalformed = status == http::status::bad_request;
+    ++(isMalformed ? counters_.malformedRequests : counters_.oversizedRequests);
+    const char *remedy = isMalformed ? "the request is malformed; send well-formed HTTP/1.1"
+        : status == http::status::payload_too_large
+        ? "the body is too long; send less"
+        : "too much waits to be read or sent; ask later";
     HttpResponse response = textResponse(status, std::string("{\"error\":\"") + remedy + "\"}\n");
     response.prepare_payload();
-    (void)write(stream, std::move(response), false, yield);
+    response.keep_alive(false);
+    (void)write(stream, std::move(response), yield);
 }
 
-bool HttpServer::write(TcpStream &stream, HttpResponse response, bool keepAlive, Yield yield)
+bool HttpServer::write(TcpStream &stream, HttpResponse response, Yield yield)
 {
     ErrorCode error;
-    response.version(11);
-    response.keep_alive(keepAlive && response.result() != http::status::internal_server_error);
     stream.expires_after(responseWriteTimeout);
     http::async_write(stream, response, yield[error]);
     return !error && response.keep_alive();
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -33,7 +33,7 @@
 {
     std::function<BodyLimit(const http::request_header<> &)> body
         = [](const http::request_header<> &) { return BodyLimit(); };
-    std::size_t totalBodyBytes = 64 * 1024 * 1024; ///< in each of the two budgets
+    std::size_t totalBodyBytes = 64 * 1024 * 1024; ///< of requests and responses, in each budget
     std::size_t connections = 2'000;
 };
 
@@ -78,9 +78,12 @@
     std::optional<http::status> readBody(TcpStream &stream, beast::flat_buffer &buffer,
                                          Parser &parser, std::size_t limit, HeldBytes &held,
                                          Yield yield);
+    std::optional<HttpResponse> respond(TcpStream &stream, beast::flat_buffer &buffer,
+                                        Parser &parser, std::size_t limit, ByteBudget &budget,
+                                        Yield yield);
     HttpResponse handle(const HttpRequest &request, Yield yield);
     void refuse(TcpStream &stream, http::status status, Yield yield);
-    bool write(TcpStream &stream, HttpResponse response, bool keepAlive, Yield yield);
+    bool write(TcpStream &stream, HttpResponse response, Yield yield);
 
     asio::io_context &context_;
     HttpHandler handler_;
--- a/test/failure/GroupDisksLostInTurn.cpp
+++ b/test/failure/GroupDisksLostInTurn.cpp
@@ -70,3 +70,8 @@
 {
     checkLostDisks(3, 1);
 }
+
+TEST(GroupDisksLostInTurn, fiveVotersStopWhenTwoAtATimeLoseTheirDisks)
+{
+    checkLostDisks(5, 2);
+}
