Entry: bodies are counted once, as long as they last, and leave room for short ones

What callers saw: with two uploads of 64 MiB held, every short request on a kept connection was refused with 503 until an upload had ended. Cause: long bodies took the whole room of the thread. Besides, each attempt held a copy of the body that was not counted and lasted longer than its request; the room of a response was given back when it had been read, though it is held until its caller has read it (pipelined ones in a queue); and the memory that a string doubles to was counted twice for known lengths, not at all below 64 KiB. Change: attempts share one body with its room (SharedRequest). The room of a response lasts until the response was sent or dropped. A response of known length gets its room before it is read, and waits for it until at most half of the time left; without room the request may have run (502), and the target is not blamed. Long bodies wait in the order of their arrival and leave an eighth of the room to short ones. Bodies without a length are still refused at once.

--- a/src/coordination/entry/Attempt.h
+++ b/src/coordination/entry/Attempt.h
@@ -3,7 +3,7 @@
 /// Runs one attempt of a request at one target and classifies its outcome.
 /// The outcome tells whether the request may have run, which decides whether it may be retried.
 
-#include "common/ByteBudget.h"
+#include "common/BodyRoom.h"
 #include "coordination/entry/RoutingTable.h"
 #include "protocol/Dialect.h"
 #include "protocol/OnceMessages.h"
@@ -38,8 +38,8 @@
     }
     asio::io_context &loop;
     TargetConnectionPool pool;
-    ByteBudget requestBytes; ///< of all requests' bodies that are held
-    ByteBudget responseBytes; ///< of all responses of host routes that are being read
+    BodyRoom requestBytes; ///< of all requests' bodies that are held
+    BodyRoom responseBytes; ///< of all responses of host routes, until they are written
     Random random;
     const EntryHooks &hooks;
 };
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -19,12 +19,12 @@
 /// leaves the caller time to retry.
 constexpr int roomWaitDivisor = 4;
 
-std::uint64_t fingerprintOf(const HttpRequest &request)
+std::uint64_t fingerprintOf(const http::request_header<> &header, const std::string &body)
 {
     const std::string head
-        = std::string(request.method_string()) + ' ' + std::string(request.target());
+        = std::string(header.method_string()) + ' ' + std::string(header.target());
     const std::uint64_t seed = XXH64(head.data(), head.size(), 0);
-    return XXH64(request.body().data(), request.body().size(), seed);
+    return XXH64(body.data(), body.size(), seed);
 }
 
 std::string pathOf(const http::request_header<> &header)
@@ -179,7 +179,7 @@
         return;
     }
     const std::uint64_t answeredBefore = runtime.counters.answered.load();
-    HeldBytes held(worker_.requestBytes);
+    HeldRoom held(worker_.requestBytes);
     if (readRequest(call, match.kind, held, yield)) {
         switch (match.kind) {
         case RequestKind::idempotent:
@@ -221,7 +221,7 @@
     request->caller = caller.readAhead();
     spawnOn(loop_, [this, request](Yield inner) {
         try {
-            request->request.prepare_payload();
+            setBody(*request, HttpRequest(request->request.header), nullptr);
             if (!refuseIfQuarantined(*request, inner)) {
                 serveHostRouteRequest(*request, inner);
             }
@@ -245,8 +245,7 @@
     }
     HostRouteRequest request = hostRouteRequest(caller.header(), *routing, route, start);
     request.caller = caller.channel();
-    HeldBytes held(worker_.requestBytes);
-    if (readHostRouteBody(caller, request, held, yield) && !refuseIfQuarantined(request, yield)) {
+    if (readHostRouteBody(caller, request, yield) && !refuseIfQuarantined(request, yield)) {
         serveHostRouteRequest(request, yield);
     }
 }
@@ -273,10 +272,10 @@
     request.currentService = [this, name = request.service->configuration.name] {
         return core_.routing.read()->findService(name);
     };
-    removeHopByHop(request.request, endToEndHeaders(names));
+    removeHopByHop(request.request.header, endToEndHeaders(names));
     if (!request.requestId.empty()) {
         // Repeated headers could name another request to the target than they do here.
-        request.request.set(names.requestId, request.requestId);
+        request.request.header.set(names.requestId, request.requestId);
     }
     const Milliseconds timeout = route->configuration.timeout;
     request.deadline
@@ -299,7 +298,7 @@
 
 bool EntryWorker::refuseIfQuarantined(HostRouteRequest &request, Yield yield)
 {
-    request.fingerprint = fingerprintOf(request.request);
+    request.fingerprint = fingerprintOf(request.request.header, *request.request.body);
     if (!core_.quarantine.isQuarantined(request.fingerprint, Clock::now())) {
         return false;
     }
@@ -307,26 +306,37 @@
     return true;
 }
 
+// The length is set before the body is shared, since each attempt sends it as it is.
+void EntryWorker::setBody(HostRouteRequest &request, HttpRequest message,
+                          std::shared_ptr<HeldRoom> held)
+{
+    message.prepare_payload();
+    request.request = SharedRequest(std::move(message), std::move(held));
+}
+
 // While a body waits, its caller is held back by the connection's flow control.
-void EntryWorker::waitForRoom(std::size_t bytes, HeldBytes &held, TimePoint until, Yield yield)
+void EntryWorker::waitForRoom(std::size_t bytes, HeldRoom &held, TimePoint until, Yield yield)
 {
-    while (!held.growTo(bytes) && Clock::now() < until) {
+    while (!held.tryGrowTo(bytes) && held.mayWaitFor(bytes) && Clock::now() < until) {
         pauseFor(loop_, roomCheckInterval, yield);
     }
+    held.dropClaim();
 }
 
 bool EntryWorker::readHostRouteBody(CallerConnection &caller, HostRouteRequest &request,
-                                    HeldBytes &held, Yield yield)
+                                    Yield yield)
 {
+    const auto held = std::make_shared<HeldRoom>(worker_.requestBytes);
+    HttpRequest message(request.request.header);
     const auto limit = static_cast<std::size_t>(core_.routing.read()->callerLimits.maxBodyBytes);
     const auto length = static_cast<std::size_t>(caller.contentLength().value_or(0));
     if (length <= limit) {
         const TimePoint until
             = Clock::now() + request.route->configuration.latencyObjective / roomWaitDivisor;
-        waitForRoom(length, held, std::min(until, request.deadline), yield);
+        waitForRoom(length, *held, std::min(until, request.deadline), yield);
     }
     const ErrorCode error = caller.readBody(
-        request.request.body(), limit, [&held](std::size_t bytes) { return held.growTo(bytes); },
+        message.body(), limit, [&held](std::size_t bytes) { return held->growTo(bytes); },
         request.deadline, yield);
     if (error == http::error::body_limit) {
         refuseHostRoute(request, RefusalReason::requestTooLarge, yield);
@@ -341,13 +351,13 @@
         request.caller.abort();
         return false;
     }
-    request.request.prepare_payload();
+    setBody(request, std::move(message), held);
     return true;
 }
 
 // Reads and checks the request, except an upload's body. Returns false when the request was refused
 // or the caller disconnected.
-bool EntryWorker::readRequest(Call &call, RequestKind kind, HeldBytes &held, Yield yield)
+bool EntryWorker::readRequest(Call &call, RequestKind kind, HeldRoom &held, Yield yield)
 {
     call.request = HttpRequest(forwardedHeader(call.caller.header(), call.deadline));
     if (kind == RequestKind::upload) {
@@ -374,7 +384,7 @@
         return false;
     }
     call.request.prepare_payload();
-    call.fingerprint = fingerprintOf(call.request);
+    call.fingerprint = fingerprintOf(call.request, call.request.body());
     if (core_.quarantine.isQuarantined(call.fingerprint, Clock::now())) {
         refuse(call, RefusalReason::quarantined, RunOutcome::notRun, yield);
         return false;
--- a/src/coordination/entry/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -42,13 +42,14 @@
                                       const RoutingTable &routing, const ActiveRoutePtr &route,
                                       TimePoint start);
     void refuseBeforeRouting(CallerConnection &caller, RefusalReason reason, Yield yield);
-    bool readHostRouteBody(CallerConnection &caller, HostRouteRequest &request, HeldBytes &held,
-                           Yield yield);
-    void waitForRoom(std::size_t bytes, HeldBytes &held, TimePoint until, Yield yield);
+    bool readHostRouteBody(CallerConnection &caller, HostRouteRequest &request, Yield yield);
+    static void setBody(HostRouteRequest &request, HttpRequest message,
+                        std::shared_ptr<HeldRoom> held);
+    void waitForRoom(std::size_t bytes, HeldRoom &held, TimePoint until, Yield yield);
     void reportFailure(const char *what);
     bool refuseIfQuarantined(HostRouteRequest &request, Yield yield);
     void refuseHostRoute(HostRouteRequest &request, RefusalReason reason, Yield yield);
-    bool readRequest(Call &call, RequestKind kind, HeldBytes &held, Yield yield);
+    bool readRequest(Call &call, RequestKind kind, HeldRoom &held, Yield yield);
 
     EntryCore &core_;
     const int maxConnections_;
--- a/src/coordination/entry/HostRouteCall.h
+++ b/src/coordination/entry/HostRouteCall.h
@@ -6,6 +6,7 @@
 
 #include "coordination/entry/Attempt.h"
 #include "protocol/ResponseChannel.h"
+#include "protocol/SharedRequest.h"
 
 namespace kumquat {
 
@@ -25,7 +26,7 @@
     ConfigurationVersion version; ///< of the configuration that the route comes from
     TimePoint arrival;
     TimePoint deadline; ///< the earlier of the caller's and the route's
-    HttpRequest request; ///< as forwarded, without the headers that differ per target
+    SharedRequest request; ///< as forwarded, without the headers that differ per target
     std::string requestId;
     std::uint64_t fingerprint = 0; ///< hash of method, target and body
 };
--- a/src/coordination/entry/HostRouteExchange.cpp
+++ b/src/coordination/entry/HostRouteExchange.cpp
@@ -16,8 +16,12 @@
 constexpr Milliseconds singleRunMaxIdle { 1'000 };
 constexpr Milliseconds connectTimeout { 400 };
 constexpr std::size_t maxResponseBytes = 64 * 1024 * 1024;
-/// A response's body is read in parts of this size, so that all of them stay within the budget.
-constexpr std::size_t responsePartBytes = 1024 * 1024;
+/// The first part of a response's body without a length; the following ones double it.
+constexpr std::size_t firstPartBytes = 16 * 1024;
+/// A response waits for room for at most the time left divided by this.
+constexpr int roomWaitDivisor = 2;
+/// Between two checks whether other responses have made room.
+constexpr Milliseconds roomCheckInterval { 10 };
 /// A longer body is sent while the response is read, because some targets respond before they
 /// have read the whole body.
 constexpr std::size_t concurrentSendThresholdBytes = 16 * 1024;
@@ -55,6 +59,9 @@
     ErrorCode send(Yield yield);
     ErrorCode readMatchingResponse(Yield yield);
     ErrorCode readResponse(Yield yield);
+    ErrorCode awaitRoom(std::size_t bytes, Yield yield);
+    ErrorCode reserveBody(std::string &body, Yield yield);
+    ErrorCode growBody(std::string &body);
     ErrorCode readWholeBody(std::string &body, Yield yield);
     bool echoesRequestId() const;
     bool matchesRequest() const;
@@ -83,20 +90,23 @@
 {
     const HeaderNames &names = request_.dialect.headers;
     const auto left = std::chrono::duration_cast<Milliseconds>(request_.deadline - Clock::now());
-    request_.message.set(names.deadline, std::to_string(std::max<std::int64_t>(1, left.count())));
+    request_.message.header.set(names.deadline,
+                                std::to_string(std::max<std::int64_t>(1, left.count())));
     if (!names.expectedTarget.empty()) {
-        request_.message.set(names.expectedTarget, request_.target->record.name);
+        request_.message.header.set(names.expectedTarget, request_.target->record.name);
     }
 }
 
 ErrorCode Exchange::send(Yield yield)
 {
-    if (request_.message.body().size() <= concurrentSendThresholdBytes) {
-        return connection_->sendRequest(request_.message, yield);
+    const SharedRequest &message = request_.message;
+    if (message.body->size() <= concurrentSendThresholdBytes) {
+        return connection_->sendRequest(message.header, *message.body, yield);
     }
     concurrentSend_ = std::make_shared<ConcurrentSend>(request_.worker.loop);
     spawnOn(request_.worker.loop, [this, state = concurrentSend_](Yield inner) {
-        state->error = connection_->sendRequest(request_.message, inner);
+        const SharedRequest &sent = request_.message;
+        state->error = connection_->sendRequest(sent.header, *sent.body, inner);
         state->done = true;
         state->ended.cancel();
     });
@@ -124,7 +134,8 @@
 
 ErrorCode Exchange::readResponse(Yield yield)
 {
-    const bool headRequest = request_.message.method() == http::verb::head;
+    result_.response = {};
+    const bool headRequest = request_.message.header.method() == http::verb::head;
     ErrorCode error = connection_->readHeader(headRequest, yield);
     std::string body;
     if (!error) {
@@ -137,23 +148,76 @@
     return error;
 }
 
+// The target is not to blame for the lack of room, which so counts as lateness.
+ErrorCode Exchange::awaitRoom(std::size_t bytes, Yield yield)
+{
+    const TimePoint start = Clock::now();
+    const bool mayWait = result_.held->mayWaitFor(bytes);
+    const TimePoint until = mayWait ? start + (request_.deadline - start) / roomWaitDivisor : start;
+    bool hasRoom = result_.held->tryGrowTo(bytes);
+    while (!hasRoom && !request_.handle.cancelled && Clock::now() < until) {
+        pauseFor(request_.worker.loop, roomCheckInterval, yield);
+        hasRoom = result_.held->tryGrowTo(bytes);
+    }
+    result_.held->dropClaim();
+    if (hasRoom) {
+        return {};
+    }
+    logEvent(Event::responseRejected, LogLevel::warning,
+             "request={} target={} bytes={} no room beside other responses", request_.requestId,
+             request_.target->record.name, bytes);
+    return asio::error::no_memory;
+}
+
+// A body of known length gets its room before it is read: bodies held in part could wait for each
+// other.
+ErrorCode Exchange::reserveBody(std::string &body, Yield yield)
+{
+    const std::uint64_t length = connection_->contentLength().value_or(0);
+    if (connection_->isResponseComplete() || length == 0) {
+        return {};
+    }
+    if (length > maxResponseBytes) {
+        return http::error::body_limit;
+    }
+    const ErrorCode error = awaitRoom(static_cast<std::size_t>(length), yield);
+    if (!error) {
+        body.reserve(static_cast<std::size_t>(length));
+    }
+    return error;
+}
+
+// One of unknown length does not wait, since it holds some room already.
+ErrorCode Exchange::growBody(std::string &body)
+{
+    if (body.size() < result_.held->held()) {
+        return {};
+    }
+    if (body.size() >= maxResponseBytes) {
+        return http::error::body_limit;
+    }
+    const std::size_t next
+        = std::min(maxResponseBytes, std::max(firstPartBytes, 2 * body.capacity()));
+    if (!result_.held->growTo(next)) {
+        return asio::error::no_memory;
+    }
+    body.reserve(next);
+    return {};
+}
+
 // Fails with http::error::body_limit for a body that is too long, which may have no end.
 ErrorCode Exchange::readWholeBody(std::string &body, Yield yield)
 {
-    ByteBudget &budget = request_.worker.responseBytes;
-    std::size_t taken = 0;
-    ErrorCode error;
+    result_.held = std::make_shared<HeldRoom>(request_.worker.responseBytes);
+    ErrorCode error = reserveBody(body, yield);
     while (!error && !connection_->isResponseComplete()) {
-        const std::size_t part = std::min(responsePartBytes, budget.available());
-        if (part == 0 || body.size() >= maxResponseBytes) {
-            error = http::error::body_limit;
-            break;
+        error = growBody(body);
+        if (!error) {
+            error = connection_->readBody(body, result_.held->held(), yield);
         }
-        budget.take(part);
-        taken += part;
-        error = connection_->readBody(body, body.size() + part, yield);
     }
-    budget.giveBack(taken);
+    body.shrink_to_fit();
+    result_.held->shrinkTo(body.size());
     return error;
 }
 
@@ -187,7 +251,9 @@
     result_.silent = !connection_->hasResponseBytes();
     if (error) {
         result_.response = {}; // A skipped one reports the load of an earlier time.
-        const bool late = error == beast::error::timeout || error == asio::error::operation_aborted;
+        result_.held.reset();
+        const bool late = error == beast::error::timeout || error == asio::error::operation_aborted
+            || error == asio::error::no_memory;
         result_.outcome = late ? ExchangeOutcome::timedOut : ExchangeOutcome::failed;
         result_.reset
             = !late && error.category() != http::make_error_code(http::error::bad_value).category();
--- a/src/coordination/entry/HostRouteExchange.h
+++ b/src/coordination/entry/HostRouteExchange.h
@@ -12,7 +12,7 @@
     notRun, ///< the target reported that it did not run the request
     notSent, ///< no byte of the request left this entry
     failed, ///< the connection ended, or the response does not match the request
-    timedOut, ///< no complete response before the deadline, or cancelled
+    timedOut, ///< no complete response before the deadline, no room for it, or cancelled
 };
 
 /// The name of \p outcome in log events.
@@ -25,19 +25,20 @@
 {
     ExchangeOutcome outcome = ExchangeOutcome::notSent;
     HttpResponse response;
+    std::shared_ptr<HeldRoom> held; ///< the room of the response's body, until it is written
     bool misdirected = false; ///< the target refused because another one was meant (421)
     bool pooled = false; ///< the connection came from the pool
     bool silent = false; ///< no byte was received
     bool reset = false; ///< the connection was closed or reset while the response was due
 };
 
-/// One exchange with a target. It owns a copy of the request, since it may outlive the caller's.
+/// One exchange with a target. It may outlive the caller's request, and shares its body.
 struct ExchangeRequest
 {
     Worker &worker;
     const Dialect &dialect;
     TargetPtr target;
-    HttpRequest message;
+    SharedRequest message;
     std::string requestId;
     TimePoint deadline;
     bool idempotent = false;
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -5,6 +5,7 @@
 #include "transport/RequestFraming.h"
 #include "transport/Spawn.h"
 
+#include <algorithm>
 #include <array>
 #include <sys/socket.h>
 
@@ -18,10 +19,28 @@
 /// How long input is read and discarded after a response to a request that was not read whole.
 constexpr Milliseconds lingerTime { 1'000 };
 
+// A body of unknown length is read in growing parts, since most are short.
+std::size_t partBytes(std::size_t before, std::size_t length)
+{
+    return length > 0 ? bodyPartBytes : std::clamp(before, firstReadBytes, bodyPartBytes);
+}
+
+// A string that grows by itself may take twice the memory that it is asked for.
+void growTo(std::string &text, std::size_t capacity)
+{
+    if (capacity > text.capacity()) {
+        std::string grown;
+        grown.reserve(capacity);
+        grown.append(text);
+        text = std::move(grown);
+    }
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(asio::io_context &context, TcpSocket socket)
-    : context_(context), stream_(std::move(socket)), responsesChanged_(context), idleTimer_(context)
+    : context_(context), stream_(std::move(socket)), responsesChanged_(context, TimePoint::max()),
+      idleTimer_(context)
 {
 }
 
@@ -152,6 +171,7 @@
         rejectMalformed(error, yield);
     } else if (error) {
         responses_.disconnect();
+        responsesChanged_.cancel();
     }
     return !error && !rejectAmbiguous(yield);
 }
@@ -202,16 +222,19 @@
     if (!mayHold(length)) {
         return asio::error::no_memory;
     }
+    // One byte more than there may be shows that there are too many.
+    const std::size_t most = (length > 0 ? length : limit) + 1;
     body.reserve(length + 1);
     ErrorCode error = sendContinueIfExpected(yield);
     while (!error && !parser_->is_done()) {
         const std::size_t before = body.size();
-        const std::size_t next = std::min(limit + 1, before + bodyPartBytes);
-        // A string that grows doubles its memory.
-        if (next > body.capacity() && !mayHold(2 * body.capacity())) {
+        const std::size_t next = std::min(most, before + partBytes(before, length));
+        const std::size_t doubled = std::max(next, std::min(most, 2 * body.capacity()));
+        if (next > body.capacity() && !mayHold(doubled)) {
             return asio::error::no_memory;
         }
-        body.resize(length > 0 ? std::min(next, length + 1) : next);
+        growTo(body, next > body.capacity() ? doubled : 0);
+        body.resize(next);
         parser_->get().body().data = body.data() + before;
         parser_->get().body().size = body.size() - before;
         stream_.expires_at(deadline);
@@ -292,7 +315,7 @@
     ResponseChannel channel;
     channel.write = [self, pending](HttpResponse response, Yield yield) {
         self->responses_.complete(pending, std::move(response));
-        self->sendReadyResponses(yield);
+        self->sendUntilEnd(*pending, yield);
     };
     channel.watchDisconnect = [self, pending](std::function<void()> onDisconnect) {
         self->responses_.watchDisconnect(pending, std::move(onDisconnect));
@@ -324,7 +347,6 @@
 {
     ErrorCode ignored;
     while (hasPendingResponses()) {
-        responsesChanged_.expires_at(TimePoint::max());
         responsesChanged_.async_wait(yield[ignored]);
     }
     return !closing_ && !responses_.isDisconnected();
@@ -334,36 +356,46 @@
 {
     ErrorCode ignored;
     while (responses_.isFull() && !responses_.isDisconnected()) {
-        responsesChanged_.expires_at(TimePoint::max());
         responsesChanged_.async_wait(yield[ignored]);
     }
 }
 
-// One request at a time sends the responses that are ready, those of later requests included.
-// During a planned stop only the last pending response closes the connection, since requests behind
-// a response that closes it count as not read.
-void CallerConnection::sendReadyResponses(Yield yield)
+// Sends what is ready until \p pending was sent or dropped. What a response holds of the memory is
+// given back by its request, which so lasts as long as the response.
+void CallerConnection::sendUntilEnd(const PendingResponse &pending, Yield yield)
 {
-    if (isSending_) {
-        return;
-    }
-    isSending_ = true;
-    while (const PendingResponsePtr next = responses_.takeReady()) {
-        closing_ = closing_ || (hooks_.isStopping() && responses_.isEmpty());
-        next->response.keep_alive(!closing_);
-        const ErrorCode error = writeMessage(next->response, next->isHeadRequest, yield);
-        if (error || closing_) {
-            endPipeline();
+    ErrorCode ignored;
+    while (!pending.isEnded) {
+        const PendingResponsePtr next = isSending_ ? nullptr : responses_.takeReady();
+        if (next) {
+            sendPending(*next, yield);
+        } else {
+            responsesChanged_.async_wait(yield[ignored]);
         }
-        responsesChanged_.cancel();
     }
-    isSending_ = false;
     responsesChanged_.cancel();
-    if (idle_ && responses_.isEmpty()) {
+    if (idle_ && !hasPendingResponses()) {
         closeWhenIdleFor(hooks_.limits().idleTimeout);
     }
 }
 
+// During a planned stop only the last pending response closes the connection, since requests behind
+// a response that closes it count as not read.
+void CallerConnection::sendPending(PendingResponse &next, Yield yield)
+{
+    isSending_ = true;
+    closing_ = closing_ || (hooks_.isStopping() && responses_.isEmpty());
+    next.response.keep_alive(!closing_);
+    const ErrorCode error = writeMessage(next.response, next.isHeadRequest, yield);
+    next.response = {};
+    next.isEnded = true;
+    isSending_ = false;
+    if (error || closing_) {
+        endPipeline();
+    }
+    responsesChanged_.cancel();
+}
+
 // Ends the wait for the next request. Requests whose response is still pending lose their caller.
 void CallerConnection::endPipeline()
 {
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -91,7 +91,8 @@
     void discardInput(Yield yield);
     bool hasPendingResponses() const { return !responses_.isEmpty() || isSending_; }
     void waitForRoom(Yield yield);
-    void sendReadyResponses(Yield yield);
+    void sendUntilEnd(const PendingResponse &pending, Yield yield);
+    void sendPending(PendingResponse &next, Yield yield);
     ErrorCode writeMessage(HttpResponse &response, bool isHeadRequest, Yield yield);
     void closeWhenIdleFor(Milliseconds idleTimeout);
     void endPipeline();
@@ -108,7 +109,7 @@
     std::optional<http::response<http::buffer_body>> streamedResponse_;
     std::optional<http::response_serializer<http::buffer_body>> serializer_;
     ResponseQueue responses_;
-    Timer responsesChanged_; ///< cancelled when a response was sent or removed
+    Timer responsesChanged_; ///< never expires; cancelled when a response was sent or removed
     Timer idleTimer_;
     bool isSending_ = false; ///< a response from the queue is being written
     bool wasPipelined_ = false;
--- a/src/protocol/ResponseChannel.h
+++ b/src/protocol/ResponseChannel.h
@@ -11,7 +11,7 @@
 
 struct ResponseChannel
 {
-    /// Sends the response, or keeps it until those before it were sent.
+    /// Sends the response after those before it; returns when it was sent or dropped.
     std::function<void(HttpResponse, Yield)> write;
     /// Calls the function once if the caller disconnects before stopWatching().
     std::function<void(std::function<void()>)> watchDisconnect;
--- a/src/protocol/ResponseQueue.cpp
+++ b/src/protocol/ResponseQueue.cpp
@@ -25,6 +25,7 @@
 
 void ResponseQueue::remove(const PendingResponsePtr &pending)
 {
+    pending->isEnded = true;
     const auto found = std::find(pending_.begin(), pending_.end(), pending);
     if (found == pending_.end()) {
         return;
@@ -39,7 +40,8 @@
         return nullptr;
     }
     PendingResponsePtr first = pending_.front();
-    remove(first);
+    heldBytes_ -= first->response.body().size();
+    pending_.pop_front();
     return first;
 }
 
--- a/src/protocol/ResponseQueue.h
+++ b/src/protocol/ResponseQueue.h
@@ -17,6 +17,7 @@
 {
     bool isHeadRequest = false;
     bool isReady = false;
+    bool isEnded = false; ///< sent or dropped
     HttpResponse response; ///< when it is ready
     std::function<void()> onDisconnect; ///< may be empty
 };
--- a/src/protocol/TargetConnection.cpp
+++ b/src/protocol/TargetConnection.cpp
@@ -55,6 +55,18 @@
     return error;
 }
 
+ErrorCode TargetConnection::sendRequest(const http::request_header<> &header,
+                                        const std::string &body, Yield yield)
+{
+    ErrorCode error;
+    ++requestsSent_;
+    parser_.reset();
+    const http::request<http::span_body<const char>> request(
+        header, boost::beast::span<const char>(body.data(), body.size()));
+    http::async_write(stream_, request, yield[error]);
+    return error;
+}
+
 ErrorCode TargetConnection::sendHeader(http::request_header<> requestHeader,
                                        std::optional<std::uint64_t> length, Yield yield)
 {
--- a/src/protocol/TargetConnection.h
+++ b/src/protocol/TargetConnection.h
@@ -21,6 +21,9 @@
 
     /// Sends a request whose body is held in memory.
     ErrorCode sendRequest(const HttpRequest &request, Yield yield);
+    /// As above; \p header tells the length of \p body, which is not copied.
+    ErrorCode sendRequest(const http::request_header<> &header, const std::string &body,
+                          Yield yield);
 
     /// Streams a request: its header, then body parts, of which the last one ends it. Without a
     /// \p length the body is chunked.
