Entry: a long body that waits for room is not starved by short ones

Seen: with short bodies holding the whole room, one leaving as another comes, a long body got nothing while it waited: what was free never exceeded the eighth that is left to short ones, though these held much more than that already. It was refused at the end of its wait, again and again.

--- a/src/common/BodyRoom.h
+++ b/src/common/BodyRoom.h
@@ -34,10 +34,12 @@
     bool isShort(std::size_t bytes) const { return bytes <= limit() / shortDivisor; }
     std::size_t limit() const { return state_->limit; }
     bool hasClaims() const { return !state_->claims.empty(); }
-    void take(std::size_t bytes) { state_->held += std::min(bytes, available()); }
-    void giveBack(std::size_t bytes)
+
+    /// A body that held \p before bytes holds \p after bytes now.
+    void change(std::size_t before, std::size_t after)
     {
-        state_->held -= std::min(bytes, state_->held);
+        state_->held += after - before;
+        state_->shortHeld += (isShort(after) ? after : 0) - (isShort(before) ? before : 0);
         serveClaims();
     }
 
@@ -50,19 +52,28 @@
         return claim;
     }
 
-    /// Ends the wait of \p claim; what it got has to be given back.
+    /// Ends the wait of \p claim and gives back what it got.
     void drop(const ClaimPtr &claim)
     {
         state_->claims.remove(claim);
+        state_->held -= claim->bytes - claim->missing;
         serveClaims();
     }
 
+    /// Makes what \p claim got the part of a body that held \p before bytes.
+    void convert(const Claim &claim, std::size_t before)
+    {
+        state_->held -= claim.bytes;
+        change(before, before + claim.bytes);
+    }
+
 private:
     struct State
     {
         explicit State(std::size_t bytes) : limit(bytes) { }
         const std::size_t limit;
         std::size_t held = 0;
+        std::size_t shortHeld = 0; ///< by short bodies
         std::list<ClaimPtr> claims;
     };
 
@@ -72,7 +83,9 @@
     std::size_t reserveBeside(std::size_t bytes) const
     {
         const std::size_t others = limit() - std::min(bytes, limit());
-        return isShort(bytes) ? 0 : std::min(limit() / reserveDivisor, others);
+        const std::size_t reserve = std::min(limit() / reserveDivisor, others);
+        // What short bodies hold of it need not be free.
+        return isShort(bytes) ? 0 : reserve - std::min(reserve, state_->shortHeld);
     }
 
     void serveClaims()
@@ -80,7 +93,7 @@
         while (hasClaims()) {
             Claim &first = *state_->claims.front();
             const std::size_t part = std::min(first.missing, availableTo(first.bytes));
-            take(part);
+            state_->held += part;
             first.missing -= part;
             if (first.missing > 0) {
                 return;
@@ -100,7 +113,7 @@
     ~HeldRoom()
     {
         dropClaim();
-        room_.giveBack(held_);
+        hold(0);
     }
     HeldRoom(const HeldRoom &) = delete;
     HeldRoom &operator=(const HeldRoom &) = delete;
@@ -114,18 +127,12 @@
         if (more > room_.availableTo(bytes)) {
             return false;
         }
-        room_.take(more);
-        held_ += more;
+        hold(held_ + more);
         return true;
     }
 
     /// Gives back what is beyond \p bytes.
-    void shrinkTo(std::size_t bytes)
-    {
-        const std::size_t less = held_ - std::min(bytes, held_);
-        held_ -= less;
-        room_.giveBack(less);
-    }
+    void shrinkTo(std::size_t bytes) { hold(std::min(bytes, held_)); }
 
     /// True when growTo() may succeed later.
     bool mayWaitFor(std::size_t bytes) const { return bytes <= room_.limit(); }
@@ -143,6 +150,7 @@
         if (claim_->missing > 0) {
             return false;
         }
+        room_.convert(*claim_, held_);
         held_ += claim_->bytes;
         claim_.reset();
         return true;
@@ -153,13 +161,17 @@
     {
         if (claim_) {
             room_.drop(claim_);
-            const std::size_t got = claim_->bytes - claim_->missing;
             claim_.reset();
-            room_.giveBack(got);
         }
     }
 
 private:
+    void hold(std::size_t bytes)
+    {
+        room_.change(held_, bytes);
+        held_ = bytes;
+    }
+
     BodyRoom room_;
     std::size_t held_ = 0;
     BodyRoom::ClaimPtr claim_; ///< null unless the body waits for room
--- a/test/correctness/RoomForBodies.cpp
+++ b/test/correctness/RoomForBodies.cpp
@@ -19,6 +19,30 @@
     BodyRoom room { limitBytes };
 };
 
+TEST(RoomForBodies, aLongBodyIsNotStarvedByShortOnes)
+{
+    std::deque<std::unique_ptr<HeldRoom>> shorts;
+    const auto addShort = [&] {
+        auto held = std::make_unique<HeldRoom>(room);
+        if (held->tryGrowTo(shortBytes)) {
+            shorts.push_back(std::move(held));
+        }
+    };
+    for (std::size_t i = 0; i < limitBytes / shortBytes; ++i) {
+        addShort();
+    }
+    HeldRoom large(room);
+    CHECK_FALSE(large.tryGrowTo(limitBytes / 2));
+    std::size_t rounds = 0;
+    for (; !large.tryGrowTo(limitBytes / 2) && rounds < 1'000; ++rounds) {
+        shorts.pop_front();
+        addShort();
+        addShort();
+    }
+    CHECK_TRUE(rounds < 100);
+    LONGS_EQUAL(limitBytes / 2, large.held());
+}
+
 TEST(RoomForBodies, aShortBodyFindsRoomWhileALongOneWaits)
 {
     auto running = std::make_unique<HeldRoom>(room);
