Entry: a target that says it leaves, or wants a rest, gets no new requests

What callers saw: an entry went on sending requests to a target whose responses said that it leaves, as long as its announcements said that it was ready; and it sent the next request at once to a target that had refused one with 503 and Retry-After.

Both statements are recorded as soon as a response's header is there, of any status, cut responses, copies of earlier ones and load probes included, and before anything is passed on: - leaving is kept for the target's name and incarnation, over changes of its record and of the statistics; only a newer incarnation ends it. From then on nothing new is placed there; - a rest lasts for the time asked, plus up to a quarter of it and 1 s that differs between entries; a longer one extends it, a shorter one changes nothing, a new incarnation has none. No request, retry, hedge or load probe is placed during it, and none leaves on a connection that was being opened when it began. Requests in flight grow from one to their full number in the second after. A response counts only if it comes from the target that was meant: not a 421, nor one that names another target. Rests beyond an hour are asked for again after an hour. Zero and negative values are no rest; dates and other unreadable values are a rest of 1 s, since clocks differ. When all targets leave or rest, requests are refused at once, with a Retry-After that ends after the first rest and is spread over the second in which requests return. The header that says that a target leaves is not passed on to callers: it is meant for entries. Whether an untried target is left is now counted by name: resting ones among the tried ones made the number of usable targets too small, and a request would have been refused too early.

Events 312 and 313, gauges targets_leaving and targets_resting, and saidLeaving and restMs in the dump name the state.

--- a/include/kumquat/Event.h
+++ b/include/kumquat/Event.h
@@ -34,6 +34,8 @@
     targetCacheFailed = 308,
     peerUp = 310,
     peerDown = 311,
+    targetSaidLeaving = 312,
+    targetRests = 313,
     requestQuarantined = 320,
     requestRefused = 330,
     requestResent = 331,
--- a/src/coordination/entry/Attempt.cpp
+++ b/src/coordination/entry/Attempt.cpp
@@ -151,6 +151,11 @@
         }
     }
     handle.connection = connection.get();
+    // The target may have asked for a rest while the connection was opened.
+    if (target.stats->rest().isResting(Clock::now())) {
+        handle.connection = nullptr;
+        return nullptr;
+    }
     return connection;
 }
 
--- a/src/coordination/entry/Attempt.h
+++ b/src/coordination/entry/Attempt.h
@@ -91,7 +91,7 @@
                          const HttpRequest &request, const AttemptOptions &options,
                          AttemptHandle &handle, Yield yield);
 
-/// An idle or a new connection to \p target; null when none can be opened.
+/// An idle or a new connection to \p target; null when none can be opened or the target rests.
 std::unique_ptr<TargetConnection> connectTo(Worker &worker, const Target &target,
                                             const AttemptOptions &options, AttemptHandle &handle,
                                             Yield yield);
--- a/src/coordination/entry/EntryCoordinator.cpp
+++ b/src/coordination/entry/EntryCoordinator.cpp
@@ -381,7 +381,8 @@
 {
     auto &stats = stats_[record.name];
     if (!stats || stats->incarnation() != record.incarnation) {
-        stats = std::make_shared<TargetStats>(record.incarnation);
+        const auto leaving = stats ? stats->leaving() : std::make_shared<TargetLeaving>();
+        stats = std::make_shared<TargetStats>(record.incarnation, leaving);
     }
     if (record.state == TargetState::ready && stats->readySince() == TimePoint()) {
         stats->markReady(now, Milliseconds(record.slowStartMs));
--- a/src/coordination/entry/EntryStatus.cpp
+++ b/src/coordination/entry/EntryStatus.cpp
@@ -22,6 +22,9 @@
     value["errorRate"] = target.stats->errorRate();
     value["ejected"] = target.stats->isEjected(now);
     value["unreachable"] = target.stats->isUnreachable();
+    value["saidLeaving"] = target.stats->isLeaving();
+    const auto restLeft = target.stats->rest().until() - now;
+    value["restMs"] = std::max(0.0, toMilliseconds(restLeft));
     return value;
 }
 
@@ -39,6 +42,19 @@
     return value;
 }
 
+void addTargetMetrics(MetricsPage &page, const MetricLabel &label, const ActiveService &service)
+{
+    const TimePoint now = Clock::now();
+    int leaving = 0;
+    int resting = 0;
+    for (const TargetPtr &target : service.targets) {
+        leaving += target->stats->isLeaving() ? 1 : 0;
+        resting += target->stats->rest().isResting(now) ? 1 : 0;
+    }
+    page.gauge("targets_leaving", { label }, leaving);
+    page.gauge("targets_resting", { label }, resting);
+}
+
 void addServiceMetrics(MetricsPage &page, const ActiveService &service)
 {
     const MetricLabel label { "service", service.configuration.name };
@@ -62,6 +78,7 @@
                          static_cast<double>(refused));
         }
     }
+    addTargetMetrics(page, label, service);
     page.gauge("waiting", { label }, static_cast<double>(runtime.waitingCount()));
     const LatencySummary latency = runtime.latency.summary();
     page.gauge("latency_ms", { label, { "quantile", "0.5" } }, latency.p50Ms);
--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -88,6 +88,7 @@
 
     void waitForEvent(Yield yield);
     void sendResponse(HttpResponse response, Yield yield);
+    Milliseconds pauseBeforeRetry();
     void refuseWith(RefusalReason reason, Yield yield);
     void fail(Yield yield);
     void finish();
@@ -141,7 +142,7 @@
             return acquired.target;
         }
         const TimePoint now = Clock::now();
-        if (usableTargetCount(*request_.service, now) <= tried_.size()) {
+        if (!hasUntriedTarget(*request_.service, tried_, now)) {
             refusalReason_ = RefusalReason::noTarget;
             return nullptr;
         }
@@ -235,8 +236,10 @@
         }
         break;
     case ExchangeOutcome::notSent:
-        stats.recordFailure(now);
-        stats.markUnresponsive(now);
+        if (!stats.rest().isResting(now)) {
+            stats.recordFailure(now);
+            stats.markUnresponsive(now);
+        }
         break;
     case ExchangeOutcome::timedOut:
         break;
@@ -369,12 +372,25 @@
                  static_cast<int>(toMilliseconds(elapsed)), attemptsStarted_);
     }
     removeHopByHop(response, endToEndHeaders(request_.dialect.headers));
+    response.erase(request_.dialect.headers.leaving);
     ++runtime_.counters.answered;
     runtime_.latency.record(elapsed);
     responded_ = true;
     request_.caller.write(std::move(response), yield);
 }
 
+// When no target may get requests, a retry is of use only after the first rest has ended.
+Milliseconds HostRouteCall::pauseBeforeRetry()
+{
+    const TimePoint now = Clock::now();
+    const auto pause = retryAfterDelay(route_.latencyObjective, request_.worker.random());
+    const auto untilReturn = timeUntilReturn(*request_.service, now);
+    if (!untilReturn || hasUntriedTarget(*request_.service, {}, now)) {
+        return pause;
+    }
+    return retryAfterRest(*untilReturn, pause, request_.worker.random());
+}
+
 void HostRouteCall::refuseWith(RefusalReason reason, Yield yield)
 {
     const bool ran = possibleRuns_ > 0;
@@ -387,8 +403,7 @@
         attemptsStarted_, static_cast<int>(toMilliseconds(Clock::now() - request_.arrival)));
     HttpResponse response = refusal(reason, ran ? RunOutcome::unknown : RunOutcome::notRun);
     if (!ran && response.count(http::field::retry_after) > 0) {
-        const auto pause = retryAfterDelay(route_.latencyObjective, request_.worker.random());
-        response.set(http::field::retry_after, formatSeconds(pause));
+        response.set(http::field::retry_after, formatSeconds(pauseBeforeRetry()));
     }
     request_.caller.write(std::move(response), yield);
 }
--- a/src/coordination/entry/HostRouteExchange.cpp
+++ b/src/coordination/entry/HostRouteExchange.cpp
@@ -1,5 +1,6 @@
 #include "coordination/entry/HostRouteExchange.h"
 
+#include "coordination/entry/TargetStatements.h"
 #include "kumquat/Event.h"
 #include "protocol/Headers.h"
 #include "transport/Spawn.h"
@@ -58,6 +59,7 @@
     ErrorCode readWholeBody(std::string &body, Yield yield);
     bool echoesRequestId() const;
     bool matchesRequest() const;
+    void noteStatements();
     void noteSkipped();
     void classify(ErrorCode error);
     void releaseConnection(Yield yield);
@@ -157,8 +159,16 @@
     return error;
 }
 
+// Also a cut response and a copy of an earlier one say what their target wants.
+void Exchange::noteStatements()
+{
+    recordStatements(*request_.target, request_.dialect, connection_->header(),
+                     request_.worker.random, Clock::now());
+}
+
 void Exchange::noteSkipped()
 {
+    noteStatements();
     const std::string &name = request_.dialect.headers.requestId;
     skippedUnnamed_ = skippedUnnamed_ || connection_->header().count(name) == 0;
     logEvent(Event::responseRejected, LogLevel::warning,
@@ -185,6 +195,9 @@
 {
     const HeaderNames &names = request_.dialect.headers;
     result_.silent = !connection_->hasResponseBytes();
+    if (!result_.silent) {
+        noteStatements();
+    }
     if (error) {
         result_.response = {}; // A skipped one reports the load of an earlier time.
         const bool late = error == beast::error::timeout || error == asio::error::operation_aborted;
--- a/src/coordination/entry/HostRoutePlacement.cpp
+++ b/src/coordination/entry/HostRoutePlacement.cpp
@@ -60,8 +60,9 @@
 
 AcquiredTarget acquire(const BestTarget &best)
 {
-    const bool taken
-        = best.target->stats->tryAcquire(optimalConcurrency(best.target->record.slots));
+    TargetStats &stats = *best.target->stats;
+    const int slots = stats.rest().concurrencyLimit(best.target->record.slots, Clock::now());
+    const bool taken = slots > 0 && stats.tryAcquire(optimalConcurrency(slots));
     return { taken ? best.target : nullptr, best.slowdown };
 }
 
--- a/src/coordination/entry/LoadProbe.cpp
+++ b/src/coordination/entry/LoadProbe.cpp
@@ -1,5 +1,6 @@
 #include "coordination/entry/LoadProbe.h"
 
+#include "coordination/entry/TargetStatements.h"
 #include "transport/Spawn.h"
 
 namespace kumquat {
@@ -41,6 +42,7 @@
     }
     std::string body;
     if (!error) {
+        recordStatements(*target, dialect, connection->header(), worker.random, Clock::now());
         error = connection->readBody(body, options.maxBufferedBytes, yield);
     }
     if (error) {
--- a/src/coordination/entry/ServiceRuntime.cpp
+++ b/src/coordination/entry/ServiceRuntime.cpp
@@ -157,13 +157,14 @@
         }
         PlacementCandidate candidate;
         candidate.index = index;
-        candidate.slots = target.record.slots;
+        candidate.slots = stats.rest().concurrencyLimit(target.record.slots, now);
         candidate.inFlight = stats.inFlight();
         candidate.externalLoad = stats.reportedExternalLoad();
         candidate.slowdown = stats.reportedSlowdown();
         candidate.hasReport = stats.reportedAt() != TimePoint();
         candidate.reportAge = std::chrono::duration_cast<Microseconds>(now - stats.reportedAt());
-        candidate.isInSlowStart = now - stats.readySince() < stats.slowStartTime();
+        candidate.isInSlowStart
+            = now - stats.readySince() < stats.slowStartTime() || stats.rest().isReturning(now);
         candidate.errorRate = stats.errorRate();
         candidate.sameFailureDomain = target.record.failureDomain == service.failureDomain;
         candidates.push_back(candidate);
@@ -201,6 +202,29 @@
                       [now](const TargetPtr &target) { return isUsable(*target, now); }));
 }
 
+bool hasUntriedTarget(const ActiveService &service, const std::vector<std::string> &tried,
+                      TimePoint now)
+{
+    return std::any_of(service.targets.begin(), service.targets.end(),
+                       [&tried, now](const TargetPtr &target) {
+                           return isUsable(*target, now) && !contains(tried, target->record.name);
+                       });
+}
+
+std::optional<Milliseconds> timeUntilReturn(const ActiveService &service, TimePoint now)
+{
+    std::optional<Milliseconds> earliest;
+    for (const TargetPtr &target : service.targets) {
+        const TargetStats &stats = *target->stats;
+        if (stats.isLeaving() || !stats.rest().isResting(now)) {
+            continue;
+        }
+        const auto left = std::chrono::ceil<Milliseconds>(stats.rest().until() - now);
+        earliest = std::min(left, earliest.value_or(left));
+    }
+    return earliest;
+}
+
 Microseconds expectedWait(const ActiveService &service, TimePoint now)
 {
     std::int64_t capacity = 0;
--- a/src/coordination/entry/ServiceRuntime.h
+++ b/src/coordination/entry/ServiceRuntime.h
@@ -17,6 +17,7 @@
 #include <array>
 #include <deque>
 #include <mutex>
+#include <optional>
 
 namespace kumquat {
 
@@ -120,6 +121,13 @@
 /// Targets that may get requests, whatever their load.
 std::size_t usableTargetCount(const ActiveService &service, TimePoint now);
 
+/// True when a target that is not in \p tried may get requests, whatever its load.
+bool hasUntriedTarget(const ActiveService &service, const std::vector<std::string> &tried,
+                      TimePoint now);
+
+/// The time until the first target that asked for a rest may get requests; nothing when none did.
+std::optional<Milliseconds> timeUntilReturn(const ActiveService &service, TimePoint now);
+
 /// How long a request that queues now will wait, estimated from queue length and service time.
 Microseconds expectedWait(const ActiveService &service, TimePoint now);
 
--- a/src/coordination/entry/Target.h
+++ b/src/coordination/entry/Target.h
@@ -4,6 +4,8 @@
 /// Observations are atomics, because all worker threads read and write them.
 
 #include "common/Time.h"
+#include "coordination/policy/TargetLeaving.h"
+#include "coordination/policy/TargetRest.h"
 #include "kumquat/TargetRecord.h"
 #include "protocol/Headers.h"
 #include "transport/Address.h"
@@ -17,11 +19,25 @@
 class TargetStats
 {
 public:
-    explicit TargetStats(std::uint64_t incarnation) : incarnation_(incarnation) { }
+    /// \p leaving is shared by all incarnations of the target.
+    explicit TargetStats(std::uint64_t incarnation,
+                         std::shared_ptr<TargetLeaving> leaving = std::make_shared<TargetLeaving>())
+        : incarnation_(incarnation), leaving_(std::move(leaving))
+    {
+    }
 
     /// The incarnation that was observed; a restarted target gets new statistics.
     std::uint64_t incarnation() const { return incarnation_; }
 
+    /// Records that the target said in a response that it leaves; true when that was not known.
+    bool recordLeaving() { return leaving_->record(incarnation_); }
+    bool isLeaving() const { return leaving_->covers(incarnation_); }
+    const std::shared_ptr<TargetLeaving> &leaving() const { return leaving_; }
+
+    /// The rest that the target asked for.
+    TargetRest &rest() { return rest_; }
+    const TargetRest &rest() const { return rest_; }
+
     /// Counts a request as in flight; false when \p limit are already in flight.
     bool tryAcquire(int limit);
     void release() { inFlight_.fetch_sub(1, std::memory_order_relaxed); }
@@ -112,6 +128,8 @@
     }
 
     const std::uint64_t incarnation_;
+    const std::shared_ptr<TargetLeaving> leaving_;
+    TargetRest rest_;
     std::atomic<int> inFlight_ { 0 };
     std::atomic<double> latencyUs_ { 0 };
     std::atomic<double> errorRate_ { 0 };
@@ -145,7 +163,7 @@
 /// \p entries live entries, at least one; lower during slow start.
 int inFlightLimit(const Target &target, double slotsFactor, std::size_t entries, TimePoint now);
 
-/// True when new requests may go to \p target.
+/// True when new requests may go to \p target: it is ready, responds, and has asked for no rest.
 bool isUsable(const Target &target, TimePoint now);
 
 } // namespace kumquat
--- a/src/protocol/Dialect.cpp
+++ b/src/protocol/Dialect.cpp
@@ -25,6 +25,9 @@
         kumquat.headers.deadline = wire::deadline;
         kumquat.provesNotRun = isShed;
         kumquat.loadReport = readLoadReport;
+        kumquat.saysLeaving = [](const http::fields &) { return false; };
+        kumquat.requestedRest
+            = [](unsigned, const http::fields &) { return std::optional<Milliseconds>(); };
         kumquat.parseDocument = [](const std::string &, DocumentOrigin) {
             return makeError(ErrorKind::badConfiguration, "this dialect has no whole documents",
                              "apply a folder with kumquatctl");
--- a/src/protocol/Dialect.h
+++ b/src/protocol/Dialect.h
@@ -17,6 +17,7 @@
     std::string expectedTarget; ///< the target a request is meant for; any other target refuses it
     std::string respondingTarget; ///< the target that responded
     std::string responseStamp; ///< present only in responses that a target produced
+    std::string leaving; ///< in all responses of a target that leaves; meant for entries only
 };
 
 /// Where the text of a document comes from.
@@ -38,6 +39,12 @@
     /// Reads a target's load report, when the response carries one.
     std::function<std::optional<LoadReport>(const http::fields &)> loadReport;
 
+    /// True when the response says that its target leaves.
+    std::function<bool(const http::fields &)> saysLeaving;
+
+    /// Reads for how long a target asks to get no requests; nothing when it does not ask.
+    std::function<std::optional<Milliseconds>(unsigned status, const http::fields &)> requestedRest;
+
     /// Reads and checks a whole configuration; fails with ErrorKind::badConfiguration.
     std::function<absl::StatusOr<ConfigurationDocument>(const std::string &text,
                                                         DocumentOrigin origin)>
--- a/tools/standin/Behaviour.cpp
+++ b/tools/standin/Behaviour.cpp
@@ -26,6 +26,8 @@
     behaviour.crashOnPoison
         = object.integer("crashOnPoison", 0, 1, behaviour.crashOnPoison ? 1 : 0) != 0;
     behaviour.healthFails = object.integer("healthFails", 0, 1, behaviour.healthFails ? 1 : 0) != 0;
+    behaviour.saysLeaving = object.integer("saysLeaving", 0, 1, behaviour.saysLeaving ? 1 : 0) != 0;
+    behaviour.retryAfter = object.text("retryAfter", behaviour.retryAfter);
     object.reportUnknownMembers();
     return problems.status(ErrorKind::badMessage);
 }
--- a/tools/standin/Behaviour.h
+++ b/tools/standin/Behaviour.h
@@ -30,6 +30,8 @@
     bool silent = false; ///< stops responding on connections that are open now
     bool crashOnPoison = false; ///< simulates a crash on a request with /poison in its path
     bool healthFails = false; ///< answers health probes with status 503
+    bool saysLeaving = false; ///< all responses say that the target leaves
+    std::string retryAfter; ///< when set, requests are refused with 503 and this Retry-After
 };
 
 /// Overwrites the fields that \p changes contains. Fails with ErrorKind::badMessage on unknown
--- a/tools/standin/Main.cpp
+++ b/tools/standin/Main.cpp
@@ -142,6 +142,15 @@
     }
 }
 
+Json::Value writeTimes(const std::deque<Milliseconds> &times)
+{
+    Json::Value value(Json::arrayValue);
+    for (const Milliseconds time : times) {
+        value.append(Json::Int64(time.count()));
+    }
+    return value;
+}
+
 Json::Value Fleet::report() const
 {
     Json::Value value;
@@ -153,6 +162,8 @@
         item["sheds"] = Json::UInt64(target->sheds());
         item["probes"] = Json::UInt64(target->probes());
         item["crashes"] = Json::UInt64(target->crashes());
+        item["arrivals"] = writeTimes(target->arrivals());
+        item["probeArrivals"] = writeTimes(target->probeArrivals());
         value["targets"][target->record().name] = item;
     }
     value["runs"] = Json::Value(Json::objectValue);
--- a/tools/standin/StandinTarget.cpp
+++ b/tools/standin/StandinTarget.cpp
@@ -14,6 +14,15 @@
 constexpr std::size_t readChunkBytes = 256 * 1024;
 constexpr Seconds idleTimeout { 300 };
 constexpr Milliseconds restartDelay { 2'000 };
+constexpr std::size_t maxArrivals = 2'000;
+
+void recordArrival(std::deque<Milliseconds> &arrivals)
+{
+    arrivals.push_back(wallTime());
+    if (arrivals.size() > maxArrivals) {
+        arrivals.pop_front();
+    }
+}
 
 std::string queryValue(const std::string &target, const std::string &name)
 {
@@ -163,6 +172,20 @@
     });
 }
 
+HttpResponse StandinTarget::makeRefusal()
+{
+    HttpResponse response = textResponse(http::status::service_unavailable, "{}");
+    if (usesPlatformProtocol_) {
+        platform::markNotExecuted(response);
+    } else {
+        response.set(wire::shed, "not-run");
+    }
+    if (!behaviour_.retryAfter.empty()) {
+        response.set(http::field::retry_after, behaviour_.retryAfter);
+    }
+    return response;
+}
+
 HttpResponse StandinTarget::makeResponse(const http::request_header<> &header,
                                          std::uint64_t bodyBytes)
 {
@@ -186,6 +209,9 @@
     } else {
         response.set(wire::load, absl::StrCat("inflight=", reported, ";slots=", behaviour_.slots));
     }
+    if (behaviour_.saysLeaving) {
+        platform::markLeaving(response);
+    }
 }
 
 bool StandinTarget::write(Connection &connection, const http::request_header<> &header,
@@ -223,11 +249,13 @@
     const std::string target(header.target());
     if (target == "/health") {
         ++probes_;
+        recordArrival(probeArrivals_);
         const auto status
             = behaviour_.healthFails ? http::status::service_unavailable : http::status::ok;
         return readBody(connection, parser, bytes, yield)
             && write(connection, header, textResponse(status, "{}"), yield);
     }
+    recordArrival(arrivals_);
     if (!readBody(connection, parser, bytes, yield)) {
         return false;
     }
@@ -244,15 +272,9 @@
         return write(connection, header, textResponse(http::status::internal_server_error, "{}"),
                      yield);
     }
-    if (!acquireSlot(yield)) {
+    if (!behaviour_.retryAfter.empty() || !acquireSlot(yield)) {
         ++sheds_;
-        HttpResponse shed = textResponse(http::status::service_unavailable, "{}");
-        if (usesPlatformProtocol_) {
-            platform::markNotExecuted(shed);
-        } else {
-            shed.set(wire::shed, "not-run");
-        }
-        return write(connection, header, std::move(shed), yield);
+        return write(connection, header, makeRefusal(), yield);
     }
     if (behaviour_.crashOnPoison && target.find("/poison") != std::string::npos) {
         releaseSlot();
--- a/tools/standin/StandinTarget.h
+++ b/tools/standin/StandinTarget.h
@@ -38,6 +38,10 @@
     std::uint64_t sheds() const { return sheds_; }
     std::uint64_t probes() const { return probes_; }
     std::uint64_t crashes() const { return crashes_; }
+    /// When the latest requests arrived, health probes excepted.
+    const std::deque<Milliseconds> &arrivals() const { return arrivals_; }
+    /// When the latest health probes arrived.
+    const std::deque<Milliseconds> &probeArrivals() const { return probeArrivals_; }
 
     /// Switches to the headers that the platform's targets use.
     void usePlatformProtocol() { usesPlatformProtocol_ = true; }
@@ -60,6 +64,7 @@
     void serve(const std::shared_ptr<Connection> &connection, Yield yield);
     bool serveRequest(Connection &connection, Yield yield);
     bool readBody(Connection &connection, Parser &parser, std::uint64_t &bytes, Yield yield);
+    HttpResponse makeRefusal();
     bool acquireSlot(Yield yield);
     void releaseSlot();
     Microseconds serviceTime(const std::string &target);
@@ -83,6 +88,8 @@
     std::uint64_t sheds_ = 0;
     std::uint64_t probes_ = 0;
     std::uint64_t crashes_ = 0;
+    std::deque<Milliseconds> arrivals_; ///< in wall time
+    std::deque<Milliseconds> probeArrivals_; ///< in wall time
     TimePoint shiftUntil_;
     TimePoint nextShift_;
     bool crashed_ = false;
