--- a/tools/standin/Behaviour.h
+++ b/tools/standin/Behaviour.h
@@ -31,7 +31,10 @@
     bool crashOnPoison = false; ///< simulates a crash on a request with /poison in its path
     bool healthFails = false; ///< answers health probes with status 503
     bool saysLeaving = false; ///< all responses say that the target leaves
-    std::string retryAfter; ///< when set, requests are refused with 503 and this Retry-After
+    /// Unless it is `none`, requests are refused with 503 and this Retry-After.
+    std::string retryAfter = "none";
+
+    bool asksForRest() const { return retryAfter != "none"; }
 };
 
 /// Overwrites the fields that \p changes contains. Fails with ErrorKind::badMessage on unknown
--- a/tools/standin/StandinTarget.cpp
+++ b/tools/standin/StandinTarget.cpp
@@ -180,7 +180,7 @@
     } else {
         response.set(wire::shed, "not-run");
     }
-    if (!behaviour_.retryAfter.empty()) {
+    if (behaviour_.asksForRest()) {
         response.set(http::field::retry_after, behaviour_.retryAfter);
     }
     return response;
@@ -272,7 +272,7 @@
         return write(connection, header, textResponse(http::status::internal_server_error, "{}"),
                      yield);
     }
-    if (!behaviour_.retryAfter.empty() || !acquireSlot(yield)) {
+    if (behaviour_.asksForRest() || !acquireSlot(yield)) {
         ++sheds_;
         return write(connection, header, makeRefusal(), yield);
     }
