Tests: a rest that begins while a connection is opened, and cut responses that say a target leaves

connectTo() must give no connection to a target that began to rest meanwhile; half of the responses of the process test are failures and all are cut, and still take their target out.

--- a/test/correctness/TargetsLeaveOrRest.cpp
+++ b/test/correctness/TargetsLeaveOrRest.cpp
@@ -1,5 +1,5 @@
 // Targets that say in a response that they leave, or that they want no requests for a while.
-#include "TestSupport.h"
+#include "LoopbackTarget.h"
 #include "coordination/entry/ServiceRuntime.h"
 #include "coordination/entry/TargetStatements.h"
 #include "platform/Dialect.h"
@@ -210,6 +210,25 @@
     CHECK_TRUE(isCandidate(target));
 }
 
+TEST(TargetsLeaveOrRest, noRequestLeavesOnAConnectionThatWasOpenedAsTheRestBegan)
+{
+    asio::io_context loop { 1 };
+    const EntryHooks hooks = kumquat::test::idleHooks();
+    Worker worker { loop, hooks, 1024 * 1024, 1 };
+    const kumquat::test::LoopbackTarget server(
+        loop, [](int, const std::string &) { return kumquat::test::ResponseScript {}; });
+    const TargetPtr target = server.target();
+    AttemptOptions options;
+    options.deadline = Clock::now() + Seconds(1);
+    kumquat::test::runOn(loop, [&](Yield yield) {
+        AttemptHandle handle;
+        CHECK_TRUE(connectTo(worker, *target, options, handle, yield) != nullptr);
+        spawnOn(loop, [&](Yield) { target->stats->rest().record(Seconds(5), 0, Clock::now()); });
+        CHECK_TRUE(connectTo(worker, *target, options, handle, yield) == nullptr);
+        CHECK_TRUE(handle.connection == nullptr);
+    });
+}
+
 TEST(TargetsLeaveOrRest, aLongerRestExtendsAndAShorterOneNeverShortens)
 {
     TargetRest rest;
--- a/test/processes/test_leaving_and_resting.py
+++ b/test/processes/test_leaving_and_resting.py
@@ -115,9 +115,9 @@
             TARGET, kinds=("arrivals",)), 15, "requests at the restarted target")
         self.assertFalse(self.entry_target(TARGET)["saidLeaving"])
 
-    def test_failing_targets_say_it_too_and_their_requests_go_elsewhere(self):
+    def test_failures_and_cut_responses_say_it_too_and_requests_go_elsewhere(self):
         self.start_callers()
-        self.fleet.change_behaviour(TARGET, saysLeaving=1, failShare=1)
+        self.fleet.change_behaviour(TARGET, saysLeaving=1, failShare=0.5, truncateShare=1)
         wait_until(lambda: self.entry_metric("targets_leaving") == 1, 10, "the word to be heard")
         heard = now_ms()
         time.sleep(3)
