--- a/src/common/JsonText.cpp
+++ b/src/common/JsonText.cpp
@@ -397,7 +397,7 @@
 
 std::optional<JsonFault> findJsonFault(std::string_view text, JsonSyntax syntax)
 {
-    if (syntax == JsonSyntax::confirmed) {
+    if (syntax == JsonSyntax::lenient) {
         return std::nullopt;
     }
     return JsonScanner(text, syntax).scan();
--- a/src/common/JsonText.h
+++ b/src/common/JsonText.h
@@ -13,7 +13,7 @@
 enum class JsonSyntax {
     strict, ///< RFC 8259, for everything that comes from other processes
     withComments, ///< also comments, for files that operators write
-    confirmed, ///< as earlier versions read it, only for what the group has confirmed already
+    lenient, ///< as earlier versions read it, only for what the group has confirmed already
 };
 
 /// Most objects and lists inside one another.
--- a/src/coordination/consensus/PeerLinks.cpp
+++ b/src/coordination/consensus/PeerLinks.cpp
@@ -13,8 +13,6 @@
 constexpr std::size_t maxBatchMessages = 64;
 constexpr std::size_t maxBatchBytes = 512 * 1024;
 constexpr Milliseconds sendTimeout { 500 };
-/// A batch may take longer the larger it is; a link slower than this is broken.
-constexpr std::size_t minLinkBytesPerMillisecond = 1024;
 
 } // namespace
 
--- a/src/coordination/consensus/RaftMembership.cpp
+++ b/src/coordination/consensus/RaftMembership.cpp
@@ -1,5 +1,6 @@
-// Membership changes. A joining member first receives the log as a learner, then the member that
-// it replaces is removed, then it becomes a voter; only one change is uncommitted at a time.
+// Membership changes. A joining member gets the log as a learner. The member in whose place it
+// comes is removed before it votes; with an even number of voters it may vote before it has the
+// whole log. Only one change is uncommitted at a time.
 #include "coordination/consensus/Raft.h"
 
 #include "protocol/Codec.h"
@@ -129,10 +130,11 @@
     return nullptr;
 }
 
-// Returns a silent voter in whose place a learner responds: it has lost its disk. To remove it at
-// once lowers neither safety nor liveness: it would never vote or store anything again, a majority
-// without it needs no more of the others than before, and the removal is itself an entry that both
-// majorities store. If it should return after all, it joins again.
+// Returns a silent voter in whose place a learner responds: it is taken to have lost its disk. To
+// remove it at once lowers neither safety nor liveness: a majority without it needs no more of the
+// others than before, and the removal is itself an entry that both majorities store. If it was only
+// frozen, its old membership can win no vote, since a majority has stored the removal; it joins
+// again.
 const GroupMember *Raft::voterWithLostDisk(TimePoint now) const
 {
     for (const GroupMember &learner : members_) {
--- a/src/coordination/consensus/RaftReplication.cpp
+++ b/src/coordination/consensus/RaftReplication.cpp
@@ -12,8 +12,6 @@
 
 /// Less than a heartbeat's interval, so that a lost small message is sent again with the next one.
 constexpr Milliseconds resendAfter { 60 };
-/// A slower link than this takes what is sent again for lost.
-constexpr std::size_t minLinkBytesPerMillisecond = 1024;
 
 Milliseconds resendDelay(std::size_t bytes)
 {
--- a/src/coordination/control/ControlDocuments.cpp
+++ b/src/coordination/control/ControlDocuments.cpp
@@ -109,9 +109,8 @@
     return current.number > 0 && ConfigurationVersion { poll.epoch, poll.number } < current;
 }
 
-// Only the version is sent; entries request the files from one member. When the files were part of
-// every member's response, a large document crossed an entry's link once per member and all calls
-// timed out.
+// Only the version is sent; an entry requests the files from one member, so that a document crosses
+// its link once.
 // An entry without a configuration must not get an old version from a partitioned member, so its
 // first version comes from a leader that a majority has confirmed. Later versions may come from any
 // member: an applied version is committed, and entries never go back to an older one.
--- a/src/coordination/control/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -18,7 +18,7 @@
 constexpr Milliseconds maxPollWait { 5'000 };
 constexpr char leaderHeader[] = "Kumquat-Leader";
 
-constexpr std::size_t maxAnnouncementBytes = 64 * 1024;
+constexpr std::size_t maxAnnouncementBodyBytes = 64 * 1024;
 constexpr std::size_t maxDocumentBytes = 8 * 1024 * 1024;
 constexpr std::size_t maxInternalBytes = 48 * 1024 * 1024; ///< replicated entries, several together
 
@@ -27,7 +27,7 @@
     const auto target = header.target();
     const std::string path(target.data(), target.size());
     if (path.rfind(wire::targetsPath, 0) == 0) {
-        return { maxAnnouncementBytes, false };
+        return { maxAnnouncementBodyBytes, false };
     }
     if (path == wire::documentPath || path == wire::rpcPath) {
         return { maxDocumentBytes, false };
--- a/src/coordination/entry/EntryProcess.cpp
+++ b/src/coordination/entry/EntryProcess.cpp
@@ -79,8 +79,8 @@
     void addWorker()
     {
         // Bodies take a quarter of the memory in each direction; the rest is for all else.
-        constexpr std::size_t directionsAndRest = 4;
-        const std::size_t bodyBytes = usableMemoryBytes(settings_.memoryLimitMb) / directionsAndRest
+        constexpr std::size_t memoryShares = 4;
+        const std::size_t bodyBytes = usableMemoryBytes(settings_.memoryLimitMb) / memoryShares
             / static_cast<std::size_t>(settings_.threads);
         workers_.emplace_back(core_, settings_.maxConnections, bodyBytes, randomSeed());
         std::vector<Address> members;
--- a/src/protocol/RaftMessage.h
+++ b/src/protocol/RaftMessage.h
@@ -12,6 +12,9 @@
 
 using MemberId = std::uint64_t; ///< 0: none
 
+/// A slower link between members counts as broken: what it carries is sent again.
+constexpr std::size_t minLinkBytesPerMillisecond = 1024;
+
 struct GroupMember
 {
     MemberId id = 0;
--- a/src/state/Configuration.cpp
+++ b/src/state/Configuration.cpp
@@ -181,7 +181,7 @@
     Json::Value merged(Json::objectValue);
     for (const ConfigurationFile &file : files) {
         const auto value = parseJson(file.name, file.content, ErrorKind::badConfiguration,
-                                     JsonSyntax::confirmed);
+                                     JsonSyntax::lenient);
         if (!value.ok()) {
             return value.status();
         }
