--- a/test/processes/test_departures.py
+++ b/test/processes/test_departures.py
@@ -87,7 +87,8 @@
     def test_a_departure_that_names_no_incarnation_is_confirmed_only_where_the_target_is_known(self):
         self.fleet.processes["control-2"].kill()
         heartbeat = {"Service": "orders", "Address": "127.0.0.1:9", "Zone": "zone-0", "Slots": 2,
-                     "State": "ready", "Sequence": 1, "born": 1000}
+                     "Version": "v1", "WarmupLeft": "0ms", "State": "ready", "Sequence": 1,
+                     "born": 1000}
         self.assertEqual(self.fleet.call(self.fleet.control_addresses[0], "PUT",
                                          TARGETS_PATH + "late", json.dumps(heartbeat))[0], 200)
         wait_until(lambda: "late" in known_targets(self.fleet, 1), 5, "the target")
@@ -115,7 +116,8 @@
         wait_until(lambda: "orders-0" in known_targets(self.fleet, 1), 10, "the departure")
         incarnation = known_targets(self.fleet, 1)["orders-0"][1]
         heartbeat = {"Service": "orders", "Address": "127.0.0.1:9", "Zone": "zone-0",
-                     "Slots": 2, "State": "ready", "Sequence": 1, "born": incarnation + 1}
+                     "Version": "v1", "WarmupLeft": "0ms", "Slots": 2, "State": "ready",
+                     "Sequence": 1, "born": incarnation + 1}
         self.fleet.call(self.fleet.control_addresses[1], "PUT", TARGETS_PATH + "orders-0",
                         json.dumps(heartbeat))
         for member in range(3):
