--- a/src/state/Configuration.cpp
+++ b/src/state/Configuration.cpp
@@ -180,8 +180,8 @@
               [](const auto &left, const auto &right) { return left.name < right.name; });
     Json::Value merged(Json::objectValue);
     for (const ConfigurationFile &file : files) {
-        const auto value = parseJson(file.name, file.content, ErrorKind::badConfiguration,
-                                     JsonSyntax::lenient);
+        const auto value
+            = parseJson(file.name, file.content, ErrorKind::badConfiguration, JsonSyntax::lenient);
         if (!value.ok()) {
             return value.status();
         }
