Lint and one test of rest, found by the whole suite

clang-tidy: a response that is only read is now given its version where it is written; a moved parameter of the stand-in. test_leaving_and_resting failed once (IndexError: no request had reached one target): that target was asked for load by a probe first, and the probe's refusal already asked for rest. The first arrival of either kind begins the watch now; the windows are as long as before.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -158,7 +158,6 @@
     stream.expires_never();
     HttpResponse response = handle(request, yield);
     const bool failed = response.result() == http::status::internal_server_error;
-    response.version(11);
     response.keep_alive(request.keep_alive() && !stopping_ && !failed);
     return response;
 }
@@ -239,6 +238,7 @@
 bool HttpServer::write(TcpStream &stream, HttpResponse response, Yield yield)
 {
     ErrorCode error;
+    response.version(11);
     stream.expires_after(responseWriteTimeout);
     http::async_write(stream, response, yield[error]);
     return !error && response.keep_alive();
--- a/test/processes/test_leaving_and_resting.py
+++ b/test/processes/test_leaving_and_resting.py
@@ -129,7 +129,7 @@
         before = now_ms()
         self.fleet.change_behaviour(TARGET, retryAfter="3")
         wait_until(lambda: self.entry_metric("targets_resting") == 1, 10, "the target to rest")
-        asked = self.arrivals(TARGET, before, kinds=("arrivals",))[0]
+        asked = self.arrivals(TARGET, before)[0]
         self.assertGreater(self.entry_target(TARGET)["restMs"], 0)
         self.assertGreaterEqual(len(self.events(313)), 1)
         self.fleet.change_behaviour(TARGET, retryAfter="none")
@@ -145,7 +145,7 @@
         self.fleet.change_behaviour("catalogue", retryAfter="4")
         wait_until(lambda: self.entry_metric("targets_resting") == 4, 10, "all targets to rest")
         resting_since = now_ms()
-        asked = {name: self.arrivals(name, before, kinds=("arrivals",))[0] for name in targets}
+        asked = {name: self.arrivals(name, before)[0] for name in targets}
         self.fleet.change_behaviour("catalogue", retryAfter="none")
         pauses = []
         durations = []
--- a/tools/standin/StandinTarget.cpp
+++ b/tools/standin/StandinTarget.cpp
@@ -38,8 +38,8 @@
 
 StandinTarget::StandinTarget(asio::io_context &context, TargetRecord record, Behaviour behaviour,
                              ExecutionRecord &executions, std::uint64_t seed)
-    : context_(context), record_(std::move(record)), behaviour_(behaviour), executions_(executions),
-      random_(seed), acceptor_(context)
+    : context_(context), record_(std::move(record)), behaviour_(std::move(behaviour)),
+      executions_(executions), random_(seed), acceptor_(context)
 {
     behaviour_.slots = record_.slots;
     behaviour_.queue = 2 * record_.slots;
