--- a/src/coordination/control/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -19,7 +19,7 @@
 constexpr char leaderHeader[] = "Kumquat-Leader";
 
 /// More than any dialect takes, so that the dialect says what is wrong with an announcement.
-constexpr std::size_t maxAnnouncementBodyBytes = 256 * 1024;
+constexpr std::size_t maxAnnouncementBodyBytes = 1024 * 1024;
 constexpr std::size_t maxDocumentBytes = 8 * 1024 * 1024;
 constexpr std::size_t maxInternalBytes = 48 * 1024 * 1024; ///< replicated entries, several together
 
