Planned stop: a request that its end could cut is refused at once

What callers saw: a request that came late in a planned stop and had long to wait was passed on, ran at a target, and lost its connection at the end of the stop without a response (rule LOST), a booking among them.

Cause: an entry serves on as before for stopGraceMs after SIGTERM, closes its listener, and aborts what still runs when stopWithin ends. Nothing compared a request's deadline with that end.

Evidence: test_planned_stop.py on the build before: a POST with 20 s to wait, sent 2.0 s after SIGTERM, one on a kept and one on a new connection: "Remote end closed connection without response"; the target had run it.

Why this fix works: PlannedStop holds the end from the signal on. A deadline never grows, and no attempt outlives it, so what is passed on has its response before the end.

What is unchanged: requests that end in time (0.6 to 3 s on the sites) are served in the stop as before.

--- a/src/coordination/entry/Attempt.cpp
+++ b/src/coordination/entry/Attempt.cpp
@@ -200,6 +200,10 @@
     const std::size_t maxWaiting = static_cast<std::size_t>(service.configuration.limits.queue);
     while (true) {
         const TimePoint now = Clock::now();
+        if (!worker.hooks.mayStart(deadline)) {
+            reason = RefusalReason::stopping;
+            return nullptr;
+        }
         TargetPtr target = acquireTarget(service, tried, now, worker.random);
         if (target) {
             return target;
--- a/src/coordination/entry/Attempt.h
+++ b/src/coordination/entry/Attempt.h
@@ -20,6 +20,8 @@
         = std::function<absl::StatusOr<OnceReply>(const OnceRequest &, TimePoint deadline, Yield)>;
     Once once; ///< runs an operation on an idempotency key at the control group
     std::function<bool(std::uint64_t fingerprint)> isQuarantined;
+    /// False when a request that may last until \p deadline could be cut by a planned stop.
+    std::function<bool(TimePoint deadline)> mayStart;
     /// To be called when a target's connection ended while it ran the request.
     std::function<void(std::uint64_t fingerprint, const std::string &target)> suspectRequest;
     /// To be called when a target has responded to the request.
--- a/src/coordination/entry/EntryCoordinator.cpp
+++ b/src/coordination/entry/EntryCoordinator.cpp
@@ -164,7 +164,7 @@
         return announce(request, yield);
     }
     if (path == wire::readyPath) {
-        const bool ready = core_.ready && !core_.stopping && core_.isFresh();
+        const bool ready = core_.ready && !core_.stop.hasBegun() && core_.isFresh();
         return textResponse(ready ? http::status::ok : http::status::service_unavailable,
                             ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n");
     }
--- a/src/coordination/entry/EntryCore.h
+++ b/src/coordination/entry/EntryCore.h
@@ -5,6 +5,7 @@
 
 #include "common/RcuPointer.h"
 #include "coordination/entry/Attempt.h"
+#include "coordination/policy/PlannedStop.h"
 #include "coordination/policy/Quarantine.h"
 
 namespace kumquat {
@@ -19,7 +20,7 @@
     Quarantine quarantine;
     EntryHooks hooks;
     std::atomic<Clock::rep> lastTick { 0 }; ///< of the coordination thread, in boot time
-    std::atomic<bool> stopping { false };
+    PlannedStop stop;
     std::atomic<bool> ready { false };
     std::atomic<int> connections { 0 };
     std::atomic<std::uint64_t> unrouted { 0 }; ///< requests that matched no route
--- a/src/coordination/entry/EntryProcess.cpp
+++ b/src/coordination/entry/EntryProcess.cpp
@@ -32,6 +32,7 @@
         core_.hooks.isQuarantined = [this](std::uint64_t fingerprint) {
             return core_.quarantine.isQuarantined(fingerprint, Clock::now());
         };
+        core_.hooks.mayStart = [this](TimePoint deadline) { return core_.stop.mayStart(deadline); };
         core_.hooks.clearRequest
             = [this](std::uint64_t fingerprint) { core_.quarantine.recordSuccess(fingerprint); };
         core_.hooks.once = [this](const OnceRequest &request, TimePoint deadline, Yield yield) {
@@ -58,7 +59,7 @@
                  settings_.callerAddress);
         {
             std::unique_lock<std::mutex> lock(mutex_);
-            stopRequested_.wait(lock, [this] { return core_.stopping.load(); });
+            stopRequested_.wait(lock, [this] { return core_.stop.hasBegun(); });
         }
         drain();
         for (auto &worker : workers_) {
@@ -71,7 +72,7 @@
     void stop() override
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        core_.stopping = true;
+        core_.stop.begin(Clock::now(), Milliseconds(settings_.stopGraceMs + settings_.stopLimitMs));
         stopRequested_.notify_all();
     }
 
@@ -114,8 +115,7 @@
         for (auto &worker : workers_) {
             worker.drain();
         }
-        const TimePoint end = Clock::now() + Milliseconds(settings_.stopLimitMs);
-        while (core_.connections > 0 && Clock::now() < end) {
+        while (core_.connections > 0 && Clock::now() < core_.stop.end()) {
             std::this_thread::sleep_for(drainPollInterval);
         }
     }
--- a/src/coordination/entry/EntryStatus.cpp
+++ b/src/coordination/entry/EntryStatus.cpp
@@ -97,7 +97,7 @@
     value["name"] = settings_.name;
     value["failureDomain"] = settings_.failureDomain;
     value["ready"] = core_.ready.load();
-    value["stopping"] = core_.stopping.load();
+    value["stopping"] = core_.stop.hasBegun();
     value["controlReachable"] = controlReachable_;
     value["configuration"]["epoch"] = Json::UInt64(routing->version.epoch);
     value["configuration"]["number"] = Json::UInt64(routing->version.number);
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -105,7 +105,7 @@
     const auto caller = std::make_shared<CallerConnection>(loop_, std::move(socket));
     callers_.insert(caller);
     CallerHooks hooks;
-    hooks.isStopping = [this] { return core_.stopping.load(); };
+    hooks.isStopping = [this] { return core_.stop.hasBegun(); };
     hooks.limits = [this] { return core_.routing.read()->callerLimits; };
     hooks.handlerFailed = [this](const char *what) { reportFailure(what); };
     caller->serve([this](CallerConnection &connection, Yield inner) { handle(connection, inner); },
@@ -127,7 +127,7 @@
     }
     const std::string path = pathOf(caller.header());
     if (path == wire::readyPath) {
-        const bool ready = core_.ready && !core_.stopping && core_.isFresh();
+        const bool ready = core_.ready && !core_.stop.hasBegun() && core_.isFresh();
         (void)caller.writeResponse(ready ? textResponse(http::status::ok, "{\"ready\":true}\n")
                                          : refusal(RefusalReason::notReady, RunOutcome::notRun),
                                    yield);
@@ -174,6 +174,10 @@
     Call call { caller, worker_, match.service, deadline, {}, 0 };
     ++runtime.counters.requests;
     runtime.retryBudget.deposit();
+    if (!core_.stop.mayStart(deadline)) {
+        refuse(call, RefusalReason::stopping, RunOutcome::notRun, yield);
+        return;
+    }
     if (!runtime.tryEnter(match.service->configuration.limits.concurrency)) {
         refuse(call, RefusalReason::overloaded, RunOutcome::notRun, yield);
         return;
@@ -245,6 +249,10 @@
     }
     HostRouteRequest request = hostRouteRequest(caller.header(), *routing, route, start);
     request.caller = caller.channel();
+    if (!core_.stop.mayStart(request.deadline)) {
+        refuseHostRoute(request, RefusalReason::stopping, yield);
+        return;
+    }
     if (readHostRouteBody(caller, request, yield) && !refuseIfQuarantined(request, yield)) {
         serveHostRouteRequest(request, yield);
     }
--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -64,6 +64,9 @@
 private:
     bool isIdempotent() const { return route_.kind == RequestKind::idempotent; }
 
+    /// False when a planned stop could cut an attempt; it may begin at any time.
+    bool mayStart() const { return request_.worker.hooks.mayStart(request_.deadline); }
+
     /// The name of the last attempt's target.
     std::string lastTarget() const { return tried_.empty() ? "none" : tried_.back(); }
 
@@ -180,12 +183,18 @@
 
 bool HostRouteCall::startNextAttempt(Yield yield)
 {
-    const TargetPtr target = findTarget(yield);
-    if (!target) {
-        return false;
+    const TargetPtr target = mayStart() ? findTarget(yield) : nullptr;
+    if (target && mayStart()) {
+        startAttempt(target);
+        return true;
     }
-    startAttempt(target);
-    return true;
+    if (target) {
+        releaseTarget(*request_.service, *target);
+    }
+    if (!mayStart()) {
+        refusalReason_ = RefusalReason::stopping;
+    }
+    return false;
 }
 
 bool HostRouteCall::anyRunning() const
@@ -330,7 +339,7 @@
     const auto runningCount = std::count_if(group_->attempts.begin(), group_->attempts.end(),
                                             [](const auto &attempt) { return !attempt->ended; });
     const int mayRun = possibleRuns_ + static_cast<int>(runningCount);
-    if (mayRun >= route_.maxAttempts || runningCount != 1) {
+    if (mayRun >= route_.maxAttempts || runningCount != 1 || !mayStart()) {
         return;
     }
     const TargetPtr currentTarget = group_->attempts.back()->request.target;
@@ -402,7 +411,8 @@
         request_.version.number, refusalReasonName(reason), ran ? "unknown" : "no", lastTarget(),
         attemptsStarted_, static_cast<int>(toMilliseconds(Clock::now() - request_.arrival)));
     HttpResponse response = refusal(reason, ran ? RunOutcome::unknown : RunOutcome::notRun);
-    if (!ran && response.count(http::field::retry_after) > 0) {
+    const bool waitsHere = !ran && reason != RefusalReason::stopping;
+    if (waitsHere && response.count(http::field::retry_after) > 0) {
         response.set(http::field::retry_after, formatSeconds(pauseBeforeRetry()));
     }
     request_.caller.write(std::move(response), yield);
--- a/src/coordination/entry/OnceCall.cpp
+++ b/src/coordination/entry/OnceCall.cpp
@@ -220,6 +220,11 @@
         releaseTarget(*service_, *target);
         return;
     }
+    if (!worker_.hooks.mayStart(deadline_)) {
+        releaseTarget(*service_, *target);
+        releaseAndRefuse(RefusalReason::stopping, yield);
+        return;
+    }
     // During the claim the caller may have been refused or the target may have become unusable.
     if (state_->abandoned || !isUsable(*target, Clock::now())) {
         releaseTarget(*service_, *target);
--- a/src/protocol/Refusal.h
+++ b/src/protocol/Refusal.h
@@ -25,9 +25,10 @@
     targetFailed,
     outcomeUnknown,
     internalError,
+    stopping, ///< the entry is being stopped and could cut the request
 };
 
-constexpr int refusalReasonCount = 16;
+constexpr int refusalReasonCount = 17;
 
 /// Whether a target ran the refused request.
 enum class RunOutcome {
--- a/test/LoopbackTarget.h
+++ b/test/LoopbackTarget.h
@@ -124,6 +124,7 @@
 {
     EntryHooks hooks;
     hooks.isQuarantined = [](std::uint64_t) { return false; };
+    hooks.mayStart = [](TimePoint) { return true; };
     hooks.suspectRequest = [](std::uint64_t, const std::string &) {};
     hooks.clearRequest = [](std::uint64_t) {};
     return hooks;
--- a/test/processes/test_pipelining.py
+++ b/test/processes/test_pipelining.py
@@ -20,13 +20,13 @@
         self.input = self.socket.makefile("rb")
         self.count = 0
 
-    def send(self, path, method="GET", body=b""):
+    def send(self, path, method="GET", body=b"", deadline_ms=8000):
         self.count += 1
         request_id = f"{id(self) % 2**32:08x}{self.count:08x}"
         length = f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
         self.socket.sendall(f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
                             f"Kumquatdeal-Request-Id: {request_id}\r\n{length}"
-                            "Kumquatdeal-Deadline-Ms: 8000\r\n\r\n".encode() + body)
+                            f"Kumquatdeal-Deadline-Ms: {deadline_ms}\r\n\r\n".encode() + body)
         return request_id
 
     def read(self, method="GET"):
--- /dev/null
+++ b/test/processes/test_planned_stop.py
@@ -0,0 +1,94 @@
+"""Process tests of a planned stop: what comes late in it is answered, and nothing is cut."""
+
+import signal
+import time
+import unittest
+
+from platform_fleet import HOST, PlatformFleet, document
+from support import wait_until
+from test_pipelining import PipelinedCaller
+
+BOOK = "/book/x"
+LONG_BOOK = "/long/x?work=8000000"  # microseconds; longer than a stop may take
+LONG_TIMEOUT = "20000ms"
+# The balancer still sends new connections for so long after the stop has begun.
+LATE_S = 2.0
+# A refusal that nothing has to be waited for.
+AT_ONCE_S = 0.5
+
+
+class StoppedFleet(PlatformFleet):
+    """Has loopback addresses of its own, beside those of other fleets."""
+
+    def loopback_address(self, name):
+        return f"127.0.{67 if name.startswith('control') else 68}.{10 + int(name.split('-')[1])}"
+
+
+def document_with_long_route():
+    """The usual routes, and one whose requests may last longer than a planned stop."""
+    routes = (("/lookup/", "safe", "catalogue"), ("/book/", "unsafe", "orders"),
+              ("/long/", "unsafe", "orders"))
+    value = document(2, routes)
+    value["Listeners"][0]["Rules"][2]["Action"]["Timeout"] = LONG_TIMEOUT
+    return value
+
+
+class PlannedStop(unittest.TestCase):
+    def setUp(self):
+        self.fleet = StoppedFleet(base=1900, entries=1)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+        self.fleet.put_document(document_with_long_route())
+        wait_until(lambda: self.fleet.request(0, "/long/x", "POST")[0] == 200, 10, "the long route")
+        self.entry = self.fleet.processes["entry-0"]
+
+    def connect(self):
+        caller = PipelinedCaller(self.fleet.caller_addresses[0])
+        self.addCleanup(caller.socket.close)
+        return caller
+
+    def runs(self, request_id):
+        return self.fleet.standin_report()["runs"].get(request_id, 0)
+
+    def stop_entry(self):
+        self.entry.signal(signal.SIGTERM)
+        wait_until(lambda: '"event":101' in self.log(), 10, "the stop to begin")
+
+    def log(self):
+        with open(self.entry.log_path) as file:
+            return file.read()
+
+    def check_refused_at_once(self, caller, request_id, sent_at):
+        status, headers, _ = caller.read()
+        self.assertLess(time.monotonic() - sent_at, AT_ONCE_S)
+        self.assertEqual((status, headers["Connection"]), (503, "close"))
+        self.assertLess(float(headers["Retry-After"]), 1.0)
+        self.assertEqual(self.runs(request_id), 0)
+
+    # Guards against bookings that come during a planned stop, run at a target, and are cut without
+    # a response when the process ends.
+    def test_a_request_that_the_stop_could_cut_is_refused_at_once(self):
+        kept = self.connect()
+        kept.send(BOOK, "POST", b"b")
+        self.assertEqual(kept.read()[0], 200)
+        self.stop_entry()
+        time.sleep(LATE_S)
+        for caller in (kept, self.connect()):
+            sent_at = time.monotonic()
+            request_id = caller.send(LONG_BOOK, "POST", b"b" * 100_000, deadline_ms=20_000)
+            self.check_refused_at_once(caller, request_id, sent_at)
+
+    def test_a_request_that_ends_within_the_stop_is_served(self):
+        callers = [self.connect() for _ in range(3)]
+        self.stop_entry()
+        time.sleep(LATE_S)
+        for caller in callers:
+            caller.send("/book/x?work=1000000", "POST", b"b", deadline_ms=2_500)
+        for caller in callers:
+            status, headers, _ = caller.read()
+            self.assertEqual((status, headers["Connection"]), (200, "close"))
+        self.assertEqual(self.entry.stop(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
