Planned stop: requests read behind a pending one get their response

Cause: during a stop the response of the last pending request closes the connection; a request that was read and waits for its turn wasn't counted as pending, nor what had arrived behind it.

Why this fix works: while a stop lasts, a connection is kept exactly as long as requests have arrived on it, so each of them is answered or refused, and the last one says that the connection closes. The loop now follows what the last response said instead of asking again. The entry reads on after the last response, so a request under way causes no reset that could discard it.

--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -56,7 +56,7 @@
     do {
         waitForRoom(yield);
         // What arrives after a response that closes the connection counts as not read.
-        if (!readHeader(yield) || closing_) {
+        if (closing_ || !readHeader(yield) || closing_) {
             break;
         }
         reusable_ = false;
@@ -64,11 +64,11 @@
             break;
         }
         stopWatching();
-    } while (reusable_ && keepsAlive());
-    (void)awaitResponses(yield);
+    } while (reusable_);
+    awaitPending(yield);
     ErrorCode ignored;
     stream_.socket().shutdown(TcpSocket::shutdown_send, ignored);
-    if (requestUnread_ || wasPipelined_) {
+    if (requestUnread_ || wasPipelined_ || hooks_.isStopping()) {
         discardInput(yield);
     }
     stream_.close();
@@ -113,13 +113,27 @@
     }
 }
 
+// During a planned stop a connection is kept only for requests that have arrived: each of them gets
+// a response.
+bool CallerConnection::mayReadNext()
+{
+    return !closing_ && (!hooks_.isStopping() || hasInput());
+}
+
 // A connection with an unread body cannot be kept: the body would be parsed as the next request.
-bool CallerConnection::keepsAlive() const
+bool CallerConnection::keepsAlive()
 {
-    return !closing_ && !hooks_.isStopping() && parser_->is_header_done() && isBodyRead()
+    return mayReadNext() && parser_->is_header_done() && isBodyRead()
         && parser_->get().keep_alive();
 }
 
+bool CallerConnection::hasInput()
+{
+    char byte = 0;
+    return buffer_.size() > 0
+        || ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 // Waits for the first bytes of a request; the rest of its header has a timeout of its own. The
 // connection is not idle while responses are pending.
 ErrorCode CallerConnection::waitForRequest(Milliseconds idleTimeout, Yield yield)
@@ -301,7 +315,7 @@
 
 // Pipelining.
 
-bool CallerConnection::canReadAhead() const
+bool CallerConnection::canReadAhead()
 {
     return keepsAlive() && !responses_.isDisconnected();
 }
@@ -344,12 +358,19 @@
 }
 
 bool CallerConnection::awaitResponses(Yield yield)
+{
+    isRequestWaiting_ = true;
+    awaitPending(yield);
+    isRequestWaiting_ = false;
+    return !closing_ && !responses_.isDisconnected();
+}
+
+void CallerConnection::awaitPending(Yield yield)
 {
     ErrorCode ignored;
     while (hasPendingResponses()) {
         responsesChanged_.async_wait(yield[ignored]);
     }
-    return !closing_ && !responses_.isDisconnected();
 }
 
 void CallerConnection::waitForRoom(Yield yield)
@@ -379,12 +400,13 @@
     }
 }
 
-// During a planned stop only the last pending response closes the connection, since requests behind
-// a response that closes it count as not read.
+// During a planned stop only the last response closes the connection, since requests behind a
+// response that closes it count as not read.
 void CallerConnection::sendPending(PendingResponse &next, Yield yield)
 {
     isSending_ = true;
-    closing_ = closing_ || (hooks_.isStopping() && responses_.isEmpty());
+    const bool isLast = responses_.isEmpty() && !isRequestWaiting_ && !mayReadNext();
+    closing_ = closing_ || isLast;
     next.response.keep_alive(!closing_);
     const ErrorCode error = writeMessage(next.response, next.isHeadRequest, yield);
     next.response = {};
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -44,7 +44,7 @@
     bool isBodyRead() const { return parser_->is_done(); }
 
     /// True when the request may be answered later, while further ones are read.
-    bool canReadAhead() const;
+    bool canReadAhead();
     /// The channel of a request that is answered later. Responses keep the order of the requests.
     ResponseChannel readAhead();
     /// The channel of a request that the handler answers before it returns.
@@ -81,7 +81,10 @@
     void closeIfIdle();
 
 private:
-    bool keepsAlive() const;
+    bool mayReadNext();
+    bool keepsAlive();
+    /// True when bytes of a further request have arrived.
+    bool hasInput();
     ErrorCode sendContinueIfExpected(Yield yield);
     void watch();
     void rejectMalformed(ErrorCode error, Yield yield);
@@ -90,6 +93,7 @@
     void failHandler(const char *what, Yield yield);
     void discardInput(Yield yield);
     bool hasPendingResponses() const { return !responses_.isEmpty() || isSending_; }
+    void awaitPending(Yield yield);
     void waitForRoom(Yield yield);
     void sendUntilEnd(const PendingResponse &pending, Yield yield);
     void sendPending(PendingResponse &next, Yield yield);
@@ -112,6 +116,7 @@
     Timer responsesChanged_; ///< never expires; cancelled when a response was sent or removed
     Timer idleTimer_;
     bool isSending_ = false; ///< a response from the queue is being written
+    bool isRequestWaiting_ = false; ///< it was read, and others before it have no response yet
     bool wasPipelined_ = false;
     bool idle_ = false; ///< waiting for the first bytes of a request
     bool responseStarted_ = false; ///< part of a response to the present request may have been sent
--- a/test/processes/test_planned_stop.py
+++ b/test/processes/test_planned_stop.py
@@ -11,6 +11,7 @@
 BOOK = "/book/x"
 LONG_BOOK = "/long/x?work=8000000"  # microseconds; longer than a stop may take
 LONG_TIMEOUT = "20000ms"
+GRACE_S = 6.0
 # The balancer still sends new connections for so long after the stop has begun.
 LATE_S = 2.0
 # A refusal that nothing has to be waited for.
@@ -89,6 +90,44 @@
             self.assertEqual((status, headers["Connection"]), (200, "close"))
         self.assertEqual(self.entry.stop(), 0)
 
+    # Guards against requests that were read during a planned stop and whose connection ends without
+    # a response when one before them has got its own.
+    def test_requests_behind_a_pending_one_are_answered(self):
+        caller = self.connect()
+        first = caller.send("/lookup/slow?work=1500000")
+        wait_until(lambda: self.runs(first) == 1, 10, "the first request to run")
+        self.stop_entry()
+        behind = [caller.send(BOOK, "POST", b"b" * 100), caller.send("/lookup/x"),
+                  caller.send(BOOK, "POST", b"b")]
+        for request_id in [first] + behind:
+            status, headers, _ = caller.read()
+            self.assertEqual((status, headers["Kumquatdeal-Request-Id"]), (200, request_id))
+        self.assertEqual(headers.get("Connection"), "close")
+        self.assertTrue(caller.is_closed())
+
+    def test_callers_that_keep_sending_lose_nothing(self):
+        callers = [self.connect() for _ in range(4)]
+        sent = {caller: [caller.send("/lookup/slow?work=300000")] for caller in callers}
+        self.stop_entry()
+        end = time.monotonic() + GRACE_S
+        while time.monotonic() < end:
+            for caller in callers:
+                try:
+                    sent[caller].append(caller.send("/lookup/slow?work=300000"))
+                except OSError:
+                    pass
+            time.sleep(0.2)
+        for caller in callers:
+            ended = False
+            for request_id in sent[caller]:
+                if ended:
+                    self.assertEqual(self.runs(request_id), 0)
+                    continue
+                status, headers, _ = caller.read()
+                self.assertIn(status, (200, 503))
+                self.assertEqual(self.runs(request_id), 1 if status == 200 else 0)
+                ended = headers.get("Connection") == "close"
+
 
 if __name__ == "__main__":
     unittest.main()
