Start: a SIGHUP while the settings are read ends no process

What operators saw: an entry that had just been restarted and got SIGHUP (its settings file had changed) was gone; the platform counts a process that ends by itself.

Cause: SIGHUP was ignored, and SIGTERM blocked, by startProgram(), which runs after the settings have been read; until then SIGHUP ends the process.

With the settings behind a named pipe both daemons end by signal 1 (test_a_hangup_during_the_start_ends_no_process: -1 != 2).

Why this fix works: signals are prepared before anything else in main(). A SIGTERM that comes meanwhile stays pending until the process waits for it. The loader's few milliseconds before main() stay open.

--- a/daemons/Main.h
+++ b/daemons/Main.h
@@ -19,6 +19,7 @@
 template <typename Builder, typename Read>
 int daemonMain(int argc, char **argv, const char *usage, Read read)
 {
+    prepareSignals();
     gflags::SetUsageMessage(usage);
     gflags::SetVersionString(KUMQUAT_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/src/common/Program.cpp
+++ b/src/common/Program.cpp
@@ -35,14 +35,19 @@
     mallopt(M_TRIM_THRESHOLD, trimThresholdBytes);
 }
 
-void startProgram(const std::string &name)
+void prepareSignals()
 {
-    keepFreedMemory();
     std::signal(SIGPIPE, SIG_IGN);
     // The settings file is polled for changes, so this signal has nothing to trigger.
     std::signal(SIGHUP, SIG_IGN);
     const sigset_t signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+void startProgram(const std::string &name)
+{
+    keepFreedMemory();
+    prepareSignals();
     startLogging(name);
 }
 
--- a/src/common/Program.h
+++ b/src/common/Program.h
@@ -16,8 +16,11 @@
 /// Makes malloc keep freed memory for reuse, up to a limit, and not return it to the kernel.
 void keepFreedMemory();
 
-/// Calls keepFreedMemory(), ignores SIGPIPE and SIGHUP, blocks SIGTERM and SIGINT in this thread
-/// and all threads started later, and starts the log.
+/// Ignores SIGPIPE and SIGHUP, and blocks SIGTERM and SIGINT in this thread and all threads started
+/// later. To be called first, since a signal may arrive while the settings are read.
+void prepareSignals();
+
+/// Calls keepFreedMemory() and prepareSignals(), and starts the log.
 void startProgram(const std::string &name);
 
 /// The exit codes of a program that cannot start.
--- a/test/processes/test_platform.py
+++ b/test/processes/test_platform.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import socket
+import subprocess
 import threading
 import unittest
 
@@ -189,11 +190,23 @@
                 return 0
         return len(views[0]) if all(view == views[0] for view in views) else 0
 
+    # Guards against a SIGHUP that ends a process which is still reading its settings.
+    def test_a_hangup_during_the_start_ends_no_process(self):
+        for program in ("kumquat-entry", "kumquat-control"):
+            settings = os.path.join(self.fleet.folder, program + ".fifo")
+            os.mkfifo(settings)
+            process = subprocess.Popen(
+                [os.path.join(self.fleet.build, program), "--settings", settings],
+                stderr=subprocess.DEVNULL)
+            with open(settings, "w") as file:  # returns when the process has begun to read
+                process.send_signal(signal.SIGHUP)
+                file.write("{ }")
+            self.assertEqual(process.wait(10), 2)  # as for any settings that lack a name
+
     def test_invalid_settings_exit_with_code_2(self):
         path = os.path.join(self.fleet.folder, "bad.json")
         with open(path, "w") as file:
             file.write('{ "name": "x", "controlSeeds": ["nowhere"] }')
-        import subprocess
         done = subprocess.run([os.path.join(self.fleet.build, "kumquat-entry"), "--settings", path],
                               capture_output=True, text=True, timeout=10)
         self.assertEqual(done.returncode, 2)
