--- a/test/processes/test_pipelining.py
+++ b/test/processes/test_pipelining.py
@@ -1,6 +1,7 @@
 """Process tests of pipelined callers: requests that follow before earlier ones have a response."""
 
 import http.client
+import itertools
 import signal
 import socket
 import unittest
@@ -14,7 +15,10 @@
 class PipelinedCaller:
     """A connection that sends requests without waiting and reads the responses in order."""
 
+    numbers = itertools.count(1)
+
     def __init__(self, address):
+        self.number = next(self.numbers)
         host, port = address.split(":")
         self.socket = socket.create_connection((host, int(port)), timeout=20)
         self.input = self.socket.makefile("rb")
@@ -22,7 +26,7 @@
 
     def send(self, path, method="GET", body=b"", deadline_ms=8000):
         self.count += 1
-        request_id = f"{id(self) % 2**32:08x}{self.count:08x}"
+        request_id = f"{self.number:08x}{self.count:08x}"
         length = f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
         self.socket.sendall(f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
                             f"Kumquatdeal-Request-Id: {request_id}\r\n{length}"
