Entry: a connection that ends with responses due says why

An entry that closed a connection while requests on it were unanswered wrote no line and counted nothing, so the hypotheses of the incident on kept connections looked alike. Event 336 and kumquat_responses_dropped_total now give the cause and how many responses were due, event 333 names each request given up, and event 102 the connections that a stop's end cut.

--- a/src/coordination/entry/EntryCore.h
+++ b/src/coordination/entry/EntryCore.h
@@ -7,6 +7,9 @@
 #include "coordination/entry/Attempt.h"
 #include "coordination/policy/PlannedStop.h"
 #include "coordination/policy/Quarantine.h"
+#include "protocol/DropCause.h"
+
+#include <array>
 
 namespace kumquat {
 
@@ -25,6 +28,8 @@
     std::atomic<int> connections { 0 };
     std::atomic<std::uint64_t> unrouted { 0 }; ///< requests that matched no route
     std::atomic<std::uint64_t> handlerFailures { 0 }; ///< requests whose handler threw an exception
+    /// Responses that were due on connections that ended, by DropCause.
+    std::array<std::atomic<std::uint64_t>, dropCauseCount> droppedResponses {};
     const Dialect *dialect = &kumquatDialect();
 
     /// True while this entry's view is recent. Uses boot time, which includes suspended time.
--- a/src/coordination/entry/EntryProcess.cpp
+++ b/src/coordination/entry/EntryProcess.cpp
@@ -62,11 +62,12 @@
             stopRequested_.wait(lock, [this] { return core_.stop.hasBegun(); });
         }
         drain();
+        const int cut = core_.connections;
         for (auto &worker : workers_) {
             worker.stop();
         }
         coordinator_.stop();
-        logEvent(Event::processStopped, LogLevel::info, "entry={}", settings_.name);
+        logEvent(Event::processStopped, LogLevel::info, "entry={} cut={}", settings_.name, cut);
     }
 
     void stop() override
--- a/src/coordination/entry/EntryStatus.cpp
+++ b/src/coordination/entry/EntryStatus.cpp
@@ -121,6 +121,12 @@
     page.gauge("caller_connections", {}, core_.connections.load());
     page.counter("unrouted_total", {}, static_cast<double>(core_.unrouted.load()));
     page.counter("handler_failures_total", {}, static_cast<double>(core_.handlerFailures.load()));
+    for (int cause = 0; cause < dropCauseCount; ++cause) {
+        const auto dropped = core_.droppedResponses[static_cast<std::size_t>(cause)].load();
+        page.counter("responses_dropped_total",
+                     { { "cause", dropCauseName(static_cast<DropCause>(cause)) } },
+                     static_cast<double>(dropped));
+    }
     page.gauge("control_reachable", {}, controlReachable_ ? 1 : 0);
     page.gauge("configuration_number", {}, static_cast<double>(routing->version.number));
     page.counter("configuration_fetches_total", {}, static_cast<double>(fetchCount_));
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -108,6 +108,8 @@
     hooks.isStopping = [this] { return core_.stop.hasBegun(); };
     hooks.limits = [this] { return core_.routing.read()->callerLimits; };
     hooks.handlerFailed = [this](const char *what) { reportFailure(what); };
+    hooks.responsesDropped
+        = [this](DropCause cause, std::size_t count) { reportDropped(cause, count); };
     caller->serve([this](CallerConnection &connection, Yield inner) { handle(connection, inner); },
                   std::move(hooks), yield);
     callers_.erase(caller);
@@ -119,6 +121,13 @@
     logEvent(Event::handlerFailed, LogLevel::error, "{}", what);
 }
 
+void EntryWorker::reportDropped(DropCause cause, std::size_t count)
+{
+    core_.droppedResponses[static_cast<std::size_t>(cause)] += count;
+    const auto level = cause == DropCause::callerClosed ? LogLevel::info : LogLevel::warning;
+    logEvent(Event::responsesDropped, level, "cause={} requests={}", dropCauseName(cause), count);
+}
+
 void EntryWorker::handle(CallerConnection &caller, Yield yield)
 {
     const TimePoint start = Clock::now();
--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -95,6 +95,7 @@
     void refuseWith(RefusalReason reason, Yield yield);
     void fail(Yield yield);
     void finish();
+    void abandon();
 
     HostRouteRequest &request_;
     const HostRoute &route_;
@@ -448,6 +449,17 @@
     }
 }
 
+void HostRouteCall::abandon()
+{
+    finish();
+    ++runtime_.counters.callerDisconnects;
+    logEvent(Event::requestAbandoned, LogLevel::info,
+             "request={} route={} target={} sendings={} ms={}", request_.requestId, route_.name,
+             lastTarget(), attemptsStarted_,
+             static_cast<int>(toMilliseconds(Clock::now() - request_.arrival)));
+    request_.caller.abort();
+}
+
 void HostRouteCall::waitForEvent(Yield yield)
 {
     ErrorCode ignored;
@@ -478,9 +490,7 @@
         return;
     }
     if (group_->callerDisconnected) {
-        finish();
-        ++runtime_.counters.callerDisconnects;
-        request_.caller.abort();
+        abandon();
         return;
     }
     fail(yield);
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -94,6 +94,7 @@
     hooks_.handlerFailed(what);
     stopWatching();
     if (responseStarted_ || !awaitResponses(yield)) {
+        hooks_.responsesDropped(DropCause::handlerFailed, 1);
         abort();
         return;
     }
@@ -184,8 +185,8 @@
     if (malformed) {
         rejectMalformed(error, yield);
     } else if (error) {
-        responses_.disconnect();
-        responsesChanged_.cancel();
+        const bool late = error == beast::error::timeout;
+        dropResponses(late ? DropCause::headerTimeout : DropCause::callerClosed);
     }
     return !error && !rejectAmbiguous(yield);
 }
@@ -289,6 +290,9 @@
     response.keep_alive(keep);
     const bool isHeadRequest = parser_->is_header_done() && header().method() == http::verb::head;
     const ErrorCode error = writeMessage(response, isHeadRequest, yield);
+    if (error) {
+        hooks_.responsesDropped(DropCause::writeFailed, 1);
+    }
     reusable_ = !error && keep;
     requestUnread_ = !error && (!parser_->is_header_done() || !isBodyRead());
     return error;
@@ -336,8 +340,8 @@
     };
     channel.stopWatching = [pending] { pending->onDisconnect = nullptr; };
     channel.abort = [self, pending] {
+        self->endPipeline(DropCause::handlerFailed);
         self->responses_.remove(pending);
-        self->endPipeline();
     };
     return channel;
 }
@@ -412,18 +416,29 @@
     next.response = {};
     next.isEnded = true;
     isSending_ = false;
+    if (error) {
+        hooks_.responsesDropped(DropCause::writeFailed, 1);
+    }
     if (error || closing_) {
-        endPipeline();
+        endPipeline(DropCause::writeFailed);
     }
     responsesChanged_.cancel();
 }
 
 // Ends the wait for the next request. Requests whose response is still pending lose their caller.
-void CallerConnection::endPipeline()
+void CallerConnection::endPipeline(DropCause cause)
 {
     closing_ = true;
-    responses_.disconnect();
+    dropResponses(cause);
     stream_.cancel();
+}
+
+void CallerConnection::dropResponses(DropCause cause)
+{
+    if (responses_.size() > 0 && !responses_.isDisconnected()) {
+        hooks_.responsesDropped(cause, responses_.size());
+    }
+    responses_.disconnect();
     responsesChanged_.cancel();
 }
 
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -6,6 +6,7 @@
 
 #include "common/Time.h"
 #include "kumquat/Configuration.h"
+#include "protocol/DropCause.h"
 #include "protocol/ResponseChannel.h"
 #include "protocol/ResponseQueue.h"
 #include "transport/HttpServer.h"
@@ -22,6 +23,9 @@
     std::function<CallerLimits()> limits; ///< of the configuration in force, for each request
     /// Called with the cause when a request's handler threw an exception.
     std::function<void(const char *what)> handlerFailed;
+    /// Called when the connection ends while \p count responses are due.
+    std::function<void(DropCause cause, std::size_t count)> responsesDropped
+        = [](DropCause, std::size_t) {};
 };
 
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
@@ -99,7 +103,8 @@
     void sendPending(PendingResponse &next, Yield yield);
     ErrorCode writeMessage(HttpResponse &response, bool isHeadRequest, Yield yield);
     void closeWhenIdleFor(Milliseconds idleTimeout);
-    void endPipeline();
+    void dropResponses(DropCause cause);
+    void endPipeline(DropCause cause);
     ErrorCode waitForRequest(Milliseconds idleTimeout, Yield yield);
     bool readHeader(Yield yield);
 
--- a/src/protocol/ResponseQueue.h
+++ b/src/protocol/ResponseQueue.h
@@ -51,6 +51,7 @@
     void disconnect();
 
     bool isEmpty() const { return pending_.empty(); }
+    std::size_t size() const { return pending_.size(); }
     bool isFull() const { return pending_.size() >= maxPending || heldBytes_ >= maxHeldBytes; }
     bool isDisconnected() const { return isDisconnected_; }
 
