Callers' connections: a read that takes too long ends no response that is due

Cause: Beast's stream timer closes the whole socket, whichever side it was set for, and readHeader() then dropped all pending responses. Class: a timer of reading that ends a connection on which responses are due.

Reads now wait for input beside other operations, with a timer that only ends the wait. After it the responses before are sent, then 408 (not run) and the end of the connection. A body that stalls is answered with 408 at the request's deadline, too; it lost its connection before. Input that has arrived by the time that a timer is noticed counts as in time, so that a pause of the process costs no request.

--- a/src/common/Explanation.cpp
+++ b/src/common/Explanation.cpp
@@ -35,6 +35,7 @@
     { "quarantined",
       "the connections to two targets broke while they ran this request, so every entry refuses "
       "it for a while" },
+    { "request-timeout", "the rest of its header or body did not come in time; it has not run" },
     { "target-failed",
       "a target received it, and then the connection broke or the response was not a valid one "
       "to this request; whether it ran is unknown" },
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -363,6 +363,10 @@
         refuseHostRoute(request, RefusalReason::overloaded, yield);
         return false;
     }
+    if (error == asio::error::timed_out) {
+        refuseHostRoute(request, RefusalReason::requestTimeout, yield);
+        return false;
+    }
     if (error) {
         ++request.service->runtime->counters.callerDisconnects;
         request.caller.abort();
@@ -395,6 +399,10 @@
                RunOutcome::notRun, yield);
         return false;
     }
+    if (error == asio::error::timed_out) {
+        refuse(call, RefusalReason::requestTimeout, RunOutcome::notRun, yield);
+        return false;
+    }
     if (error) {
         ++call.service->runtime->counters.callerDisconnects;
         call.caller.abort();
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -40,7 +40,7 @@
 
 CallerConnection::CallerConnection(asio::io_context &context, TcpSocket socket)
     : context_(context), stream_(std::move(socket)), responsesChanged_(context, TimePoint::max()),
-      idleTimer_(context)
+      idleTimer_(context), inputTimer_(context)
 {
 }
 
@@ -177,18 +177,90 @@
         error = waitForRequest(limits.idleTimeout, yield);
     }
     if (!error) {
-        stream_.expires_after(limits.headerTimeout);
-        http::async_read_header(stream_, buffer_, *parser_, yield[error]);
+        error = readHeaderUntil(Clock::now() + limits.headerTimeout, yield);
     }
-    const bool malformed = error && error != http::error::end_of_stream
-        && error.category() == ErrorCode(http::error::bad_method).category();
-    if (malformed) {
-        rejectMalformed(error, yield);
-    } else if (error) {
-        const bool late = error == beast::error::timeout;
-        dropResponses(late ? DropCause::headerTimeout : DropCause::callerClosed);
+    if (error) {
+        rejectBadHeader(error, yield);
+        return false;
+    }
+    return !rejectAmbiguous(yield);
+}
+
+ErrorCode CallerConnection::readHeaderUntil(TimePoint until, Yield yield)
+{
+    ErrorCode error;
+    while (!error && !parser_->is_header_done()) {
+        error = parseBuffered();
+        if (error == http::error::need_more) {
+            error = receiveUntil(until, yield);
+        }
+    }
+    return error;
+}
+
+ErrorCode CallerConnection::parseBuffered()
+{
+    if (buffer_.size() == 0) {
+        return http::error::need_more;
+    }
+    ErrorCode error;
+    buffer_.consume(parser_->put(buffer_.data(), error));
+    return error;
+}
+
+ErrorCode CallerConnection::receiveNow()
+{
+    const std::size_t free = buffer_.max_size() - buffer_.size();
+    const std::size_t wanted = std::max(firstReadBytes, buffer_.capacity() - buffer_.size());
+    const auto room = buffer_.prepare(std::min(free, wanted));
+    if (room.size() == 0) {
+        return http::error::buffer_overflow;
+    }
+    ssize_t received = -1;
+    do {
+        received = ::recv(stream_.socket().native_handle(), room.data(), room.size(), MSG_DONTWAIT);
+    } while (received < 0 && errno == EINTR);
+    if (received == 0) {
+        return asio::error::eof;
+    }
+    if (received < 0) {
+        return errno == EAGAIN ? ErrorCode(asio::error::would_block)
+                               : ErrorCode(errno, boost::system::system_category());
     }
-    return !error && !rejectAmbiguous(yield);
+    buffer_.commit(static_cast<std::size_t>(received));
+    return {};
+}
+
+// The stream's own timer would close the connection and cut the responses that are due on it. What
+// has arrived by the time that the timer is noticed is in time.
+ErrorCode CallerConnection::receiveUntil(TimePoint until, Yield yield)
+{
+    ErrorCode waited;
+    ErrorCode error = receiveNow();
+    while (error == asio::error::would_block && !waited) {
+        waited = awaitInput(until, yield);
+        error = receiveNow();
+    }
+    return error == asio::error::would_block ? waited : error;
+}
+
+ErrorCode CallerConnection::awaitInput(TimePoint until, Yield yield)
+{
+    if (!isInputAwaited_) {
+        isInputAwaited_ = true;
+        stream_.socket().async_wait(TcpSocket::wait_read,
+                                    [self = shared_from_this()](ErrorCode error) {
+                                        self->isInputAwaited_ = false;
+                                        self->inputError_ = error;
+                                        self->inputTimer_.cancel();
+                                    });
+    }
+    ErrorCode ignored;
+    while (isInputAwaited_ && Clock::now() < until) {
+        inputTimer_.expires_at(until);
+        inputTimer_.async_wait(yield[ignored]);
+    }
+    return isInputAwaited_ ? ErrorCode(asio::error::timed_out) : inputError_;
 }
 
 bool CallerConnection::rejectAmbiguous(Yield yield)
@@ -198,19 +270,33 @@
         return false;
     }
     logEvent(Event::requestMalformed, LogLevel::warning, "cause=\"{}\"", ambiguity);
-    rejectMalformed({}, yield);
+    rejectUnread(refusal(RefusalReason::malformedRequest, RunOutcome::notRun), yield);
     return true;
 }
 
-void CallerConnection::rejectMalformed(ErrorCode error, Yield yield)
+void CallerConnection::rejectBadHeader(ErrorCode error, Yield yield)
 {
-    if (!awaitResponses(yield)) {
+    if (error == asio::error::timed_out) {
+        rejectUnread(refusal(RefusalReason::requestTimeout, RunOutcome::notRun), yield);
+        return;
+    }
+    if (error.category() != ErrorCode(http::error::bad_method).category()) {
+        dropResponses(DropCause::callerClosed);
         return;
     }
     HttpResponse response = refusal(RefusalReason::malformedRequest, RunOutcome::notRun);
     if (error == http::error::header_limit) {
         response.result(http::status::request_header_fields_too_large);
     }
+    rejectUnread(std::move(response), yield);
+}
+
+// Refuses what cannot be read, after the responses to the requests before it.
+void CallerConnection::rejectUnread(HttpResponse response, Yield yield)
+{
+    if (!awaitResponses(yield)) {
+        return;
+    }
     closing_ = true;
     (void)writeResponse(std::move(response), yield);
 }
@@ -241,6 +327,7 @@
     const std::size_t most = (length > 0 ? length : limit) + 1;
     body.reserve(length + 1);
     ErrorCode error = sendContinueIfExpected(yield);
+    parser_->eager(true);
     while (!error && !parser_->is_done()) {
         const std::size_t before = body.size();
         const std::size_t next = std::min(most, before + partBytes(before, length));
@@ -252,12 +339,14 @@
         body.resize(next);
         parser_->get().body().data = body.data() + before;
         parser_->get().body().size = body.size() - before;
-        stream_.expires_at(deadline);
-        http::async_read(stream_, buffer_, *parser_, yield[error]);
+        error = parseBuffered();
         body.resize(body.size() - parser_->get().body().size);
         if (error == http::error::need_buffer) {
             error = {};
         }
+        if (error == http::error::need_more) {
+            error = receiveUntil(deadline, yield);
+        }
         if (!error && body.size() > limit) {
             error = http::error::body_limit;
         }
@@ -274,9 +363,15 @@
     part.resize(bodyPartBytes);
     parser_->get().body().data = part.data();
     parser_->get().body().size = part.size();
-    stream_.expires_after(idleTimeout);
-    http::async_read_some(stream_, buffer_, *parser_, yield[error]);
+    error = parseBuffered();
+    if (error == http::error::need_more) {
+        error = receiveUntil(Clock::now() + idleTimeout, yield);
+        error = error ? error : parseBuffered();
+    }
     part.resize(bodyPartBytes - parser_->get().body().size);
+    if (error == http::error::need_more) {
+        error = {};
+    }
     if (error == http::error::need_buffer) {
         error = {};
     }
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -60,12 +60,14 @@
     /// Asked before a body grows to so many bytes in memory; false refuses the growth.
     using MayHold = std::function<bool(std::size_t bytes)>;
 
-    /// Reads the whole body; fails with http::error::body_limit when it exceeds \p limit bytes, and
-    /// with asio::error::no_memory when \p mayHold refuses.
+    /// Reads the whole body; fails with http::error::body_limit when it exceeds \p limit bytes,
+    /// with asio::error::no_memory when \p mayHold refuses, and with asio::error::timed_out at \p
+    /// deadline. After any of these a response can still be written.
     ErrorCode readBody(std::string &body, std::size_t limit, const MayHold &mayHold,
                        TimePoint deadline, Yield yield);
 
-    /// Reads the next part of the body; fails when none arrives within \p idleTimeout.
+    /// Reads the next part of the body; fails with asio::error::timed_out when none arrives within
+    /// \p idleTimeout.
     ErrorCode readSomeBody(std::string &part, Milliseconds idleTimeout, Yield yield);
 
     ErrorCode writeResponse(HttpResponse response, Yield yield);
@@ -91,7 +93,8 @@
     bool hasInput();
     ErrorCode sendContinueIfExpected(Yield yield);
     void watch();
-    void rejectMalformed(ErrorCode error, Yield yield);
+    void rejectUnread(HttpResponse response, Yield yield);
+    void rejectBadHeader(ErrorCode error, Yield yield);
     bool rejectAmbiguous(Yield yield);
     bool runHandler(const Handler &handler, Yield yield);
     void failHandler(const char *what, Yield yield);
@@ -107,6 +110,11 @@
     void endPipeline(DropCause cause);
     ErrorCode waitForRequest(Milliseconds idleTimeout, Yield yield);
     bool readHeader(Yield yield);
+    ErrorCode readHeaderUntil(TimePoint until, Yield yield);
+    ErrorCode parseBuffered();
+    ErrorCode receiveNow();
+    ErrorCode receiveUntil(TimePoint until, Yield yield);
+    ErrorCode awaitInput(TimePoint until, Yield yield);
 
     asio::io_context &context_;
     TcpStream stream_;
@@ -120,6 +128,9 @@
     ResponseQueue responses_;
     Timer responsesChanged_; ///< never expires; cancelled when a response was sent or removed
     Timer idleTimer_;
+    Timer inputTimer_; ///< cancelled when isInputAwaited_ becomes false
+    ErrorCode inputError_; ///< of the last wait for input
+    bool isInputAwaited_ = false;
     bool isSending_ = false; ///< a response from the queue is being written
     bool isRequestWaiting_ = false; ///< it was read, and others before it have no response yet
     bool wasPipelined_ = false;
--- a/src/protocol/DropCause.h
+++ b/src/protocol/DropCause.h
@@ -7,17 +7,16 @@
 
 enum class DropCause {
     callerClosed,
-    headerTimeout, ///< the rest of a further request's header did not come in time
     writeFailed,
     handlerFailed, ///< it threw an exception
 };
 
-constexpr int dropCauseCount = 4;
+constexpr int dropCauseCount = 3;
 
 inline const char *dropCauseName(DropCause cause)
 {
     static const char *const names[dropCauseCount]
-        = { "caller-closed", "header-timeout", "write-failed", "handler-failed" };
+        = { "caller-closed", "write-failed", "handler-failed" };
     return names[static_cast<int>(cause)];
 }
 
--- a/src/protocol/Refusal.cpp
+++ b/src/protocol/Refusal.cpp
@@ -43,6 +43,8 @@
           "send it again with the same Idempotency-Key to learn the outcome" },
         { "internal-error", http::status::internal_server_error, nullptr,
           "report it with the time and the request's ID" },
+        { "request-timeout", http::status::request_timeout, nullptr,
+          "send the whole request within the time limits" },
         { "stopping", http::status::service_unavailable, "0.050",
           "send it again on a new connection, which reaches another entry" },
     };
--- a/src/protocol/Refusal.h
+++ b/src/protocol/Refusal.h
@@ -25,10 +25,11 @@
     targetFailed,
     outcomeUnknown,
     internalError,
+    requestTimeout, ///< the rest of the request did not come in time
     stopping, ///< the entry is being stopped and could cut the request
 };
 
-constexpr int refusalReasonCount = 17;
+constexpr int refusalReasonCount = 18;
 
 /// Whether a target ran the refused request.
 enum class RunOutcome {
--- /dev/null
+++ b/test/correctness/KeptConnections.cpp
@@ -0,0 +1,171 @@
+// Requests of a kept connection get their responses, whatever happens to reading or to each other.
+#include "TestSupport.h"
+#include "protocol/CallerConnection.h"
+#include "protocol/Refusal.h"
+#include "transport/Spawn.h"
+
+using namespace kumquat;
+
+namespace {
+
+constexpr Milliseconds shortTimeout { 50 };
+constexpr Seconds testTimeout { 20 };
+const std::string lookup = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+HttpResponse okResponse(const std::string &body)
+{
+    return textResponse(http::status::ok, body);
+}
+
+// A connection whose requests are all answered later, and the caller at its other end.
+struct ServedConnection
+{
+    ServedConnection() : acceptor(loop, TcpEndpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        spawnOn(loop, [this](Yield yield) { serve(yield); });
+    }
+
+    void serve(Yield yield)
+    {
+        TcpSocket socket(loop);
+        ErrorCode error;
+        acceptor.async_accept(socket, yield[error]);
+        CallerHooks hooks;
+        hooks.isStopping = [] { return false; };
+        hooks.limits = [this] {
+            CallerLimits limits;
+            limits.headerTimeout = headerTimeout;
+            return limits;
+        };
+        hooks.handlerFailed = [](const char *what) { FAIL(what); };
+        hooks.responsesDropped = [this](DropCause, std::size_t count) { dropped += count; };
+        connection = std::make_shared<CallerConnection>(loop, std::move(socket));
+        connection->serve(
+            [this](CallerConnection &served, Yield) { channels.push_back(served.readAhead()); },
+            std::move(hooks), yield);
+        closed = true;
+    }
+
+    // Runs the caller's side until it ends.
+    template <typename Function>
+    void run(Function function)
+    {
+        spawnOn(loop, [this, &function](Yield yield) {
+            TcpSocket caller(loop);
+            ErrorCode error;
+            caller.async_connect(acceptor.local_endpoint(), yield[error]);
+            function(caller, yield);
+            caller.close(error);
+            loop.stop();
+        });
+        loop.run_for(testTimeout);
+    }
+
+    void answer(std::size_t request, const std::string &body)
+    {
+        spawnOn(loop, [this, request, body](Yield yield) {
+            channels[request].write(okResponse(body), yield);
+        });
+    }
+
+    asio::io_context loop { 1 };
+    TcpAcceptor acceptor;
+    std::shared_ptr<CallerConnection> connection;
+    std::vector<ResponseChannel> channels;
+    Milliseconds headerTimeout { 10'000 };
+    std::size_t dropped = 0;
+    bool closed = false;
+};
+
+void send(TcpSocket &caller, const std::string &bytes, Yield yield)
+{
+    ErrorCode error;
+    asio::async_write(caller, asio::buffer(bytes), yield[error]);
+}
+
+// False when \p condition does not hold within the time that a test may take.
+template <typename Condition>
+bool becomes(ServedConnection &served, Condition condition, Yield yield)
+{
+    const TimePoint until = Clock::now() + testTimeout / 2;
+    while (!condition() && Clock::now() < until) {
+        pauseFor(served.loop, Milliseconds(1), yield);
+    }
+    return condition();
+}
+
+// Stands for a process that does not run for so long.
+void standStill(Milliseconds duration)
+{
+    const TimePoint until = Clock::now() + duration;
+    while (Clock::now() < until) { }
+}
+
+// Everything that comes until the connection ends.
+std::string readAll(TcpSocket &caller, Yield yield)
+{
+    std::string received;
+    ErrorCode error;
+    asio::async_read(caller, asio::dynamic_buffer(received), yield[error]);
+    return received;
+}
+
+} // namespace
+
+TEST_GROUP(KeptConnections)
+{
+    ServedConnection served;
+
+    void checkContains(const std::string &text, const char *part)
+    {
+        CHECK_TEXT(text.find(part) != std::string::npos, (part + (" is not in: " + text)).c_str());
+    }
+};
+
+// Guards against requests that were passed on and get no response, since the header of a further
+// request does not come in time.
+TEST(KeptConnections, aHeaderThatStallsDropsNoResponse)
+{
+    served.headerTimeout = shortTimeout;
+    served.run([&](TcpSocket &caller, Yield yield) {
+        send(caller, lookup + lookup + "GET /half", yield);
+        CHECK(becomes(
+            served, [&] { return served.channels.size() == 2; }, yield));
+        pauseFor(served.loop, 2 * shortTimeout, yield);
+        served.answer(1, "second");
+        served.answer(0, "first");
+        const std::string received = readAll(caller, yield);
+        checkContains(received, "first");
+        checkContains(received, "second");
+        checkContains(received, "HTTP/1.1 408");
+        LONGS_EQUAL(0, served.dropped);
+    });
+}
+
+// Guards against the same after a pause of the process, when the rest of the header has come.
+TEST(KeptConnections, aHeaderThatCameWhileTheProcessStoodStillIsInTime)
+{
+    served.headerTimeout = shortTimeout;
+    served.run([&](TcpSocket &caller, Yield yield) {
+        send(caller, lookup + "GET /half", yield);
+        CHECK(becomes(
+            served, [&] { return served.channels.size() == 1; }, yield));
+        ErrorCode error;
+        asio::write(caller, asio::buffer(std::string(" HTTP/1.1\r\nHost: h\r\n\r\n")), error);
+        standStill(2 * shortTimeout);
+        CHECK(becomes(
+            served, [&] { return served.channels.size() == 2; }, yield));
+    });
+}
+
+TEST(KeptConnections, aHeaderOfManyPartsIsReadWhole)
+{
+    served.run([&](TcpSocket &caller, Yield yield) {
+        for (const char byte : lookup) {
+            send(caller, std::string(1, byte), yield);
+            pauseFor(served.loop, Milliseconds(1), yield);
+        }
+        CHECK(becomes(
+            served, [&] { return served.channels.size() == 1; }, yield));
+    });
+}
