Pipelining: a request that fails inside costs no other its response

Class: one request that ends the others of its connection.

Such a request now gets 500 with an unknown outcome in its turn, and the others theirs. Only when the exception comes while its own response is being sent does the connection end, since part of it may have gone out.

Evidence: aRequestThatFailsInsideCostsNoOtherItsResponse failed with the former behaviour (no response to the request before it) and passes.

--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -240,7 +240,7 @@
             }
         } catch (const std::exception &exception) {
             reportFailure(exception.what());
-            request->caller.abort();
+            request->caller.fail(inner);
         }
     });
     return true;
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -434,6 +434,7 @@
         self->responses_.watchDisconnect(pending, std::move(onDisconnect));
     };
     channel.stopWatching = [pending] { pending->onDisconnect = nullptr; };
+    channel.fail = [self, pending](Yield yield) { self->failPending(pending, yield); };
     channel.abort = [self, pending] {
         self->endPipeline(DropCause::handlerFailed);
         self->responses_.remove(pending);
@@ -441,6 +442,19 @@
     return channel;
 }
 
+// One request that fails must not cost the others of its connection their responses.
+void CallerConnection::failPending(const PendingResponsePtr &pending, Yield yield)
+{
+    pending->onDisconnect = nullptr;
+    if (pending->isReady || pending->isEnded) {
+        endPipeline(DropCause::handlerFailed);
+        responses_.remove(pending);
+        return;
+    }
+    responses_.complete(pending, refusal(RefusalReason::internalError, RunOutcome::unknown));
+    sendUntilEnd(*pending, yield);
+}
+
 ResponseChannel CallerConnection::channel()
 {
     const auto self = shared_from_this();
--- a/src/protocol/ResponseChannel.h
+++ b/src/protocol/ResponseChannel.h
@@ -18,6 +18,9 @@
     std::function<void()> stopWatching;
     /// Resets the connection.
     std::function<void()> abort;
+    /// Responds that the request failed inside, in its turn, unless it has a response already; then
+    /// the connection ends.
+    std::function<void(Yield)> fail;
 };
 
 } // namespace kumquat
--- a/test/correctness/KeptConnections.cpp
+++ b/test/correctness/KeptConnections.cpp
@@ -169,3 +169,24 @@
             served, [&] { return served.channels.size() == 1; }, yield));
     });
 }
+
+// Guards against an exception in one request that takes the responses of the others on its
+// connection along.
+TEST(KeptConnections, aRequestThatFailsInsideCostsNoOtherItsResponse)
+{
+    served.run([&](TcpSocket &caller, Yield yield) {
+        send(caller, lookup + lookup + lookup, yield);
+        CHECK(becomes(
+            served, [&] { return served.channels.size() == 3; }, yield));
+        served.answer(2, "third");
+        spawnOn(served.loop, [&](Yield inner) { served.channels[1].fail(inner); });
+        served.answer(0, "first");
+        std::string received;
+        ErrorCode error;
+        asio::async_read_until(caller, asio::dynamic_buffer(received), "third", yield[error]);
+        checkContains(received, "first");
+        checkContains(received, "HTTP/1.1 500");
+        checkContains(received, "third");
+        LONGS_EQUAL(0, served.dropped);
+    });
+}
