Callers' connections: one whose next request has arrived is not idle

At the idle timeout, and when a planned stop closes idle connections, a connection was reset although a request had arrived in its socket and only waited to be read: after a pause of the process both are due at once. The caller of a request that may not be repeated learns nothing from a reset (class: a timer of reading that asks only what was read, not what has arrived).

The socket is asked first; a connection with input is read and served.

Evidence: aRequestThatHasArrivedKeepsItsConnectionFromBeingIdle failed before and passes.

--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -632,7 +632,9 @@
 
 void CallerConnection::closeIfIdle()
 {
-    if (idle_ && !hasPendingResponses()) {
+    // What has arrived is read first: the timer of a process that stood still is due together with
+    // it.
+    if (idle_ && !hasPendingResponses() && !hasInput()) {
         stream_.close();
     }
 }
--- a/test/correctness/KeptConnections.cpp
+++ b/test/correctness/KeptConnections.cpp
@@ -190,3 +190,21 @@
         LONGS_EQUAL(0, served.dropped);
     });
 }
+
+// Guards against a connection that is closed as idle although its next request has arrived.
+TEST(KeptConnections, aRequestThatHasArrivedKeepsItsConnectionFromBeingIdle)
+{
+    served.run([&](TcpSocket &caller, Yield yield) {
+        send(caller, lookup, yield);
+        CHECK(becomes(
+            served, [&] { return served.channels.size() == 1; }, yield));
+        served.answer(0, "first");
+        std::string received;
+        ErrorCode error;
+        asio::async_read_until(caller, asio::dynamic_buffer(received), "first", yield[error]);
+        asio::write(caller, asio::buffer(lookup), error);
+        served.connection->closeIfIdle();
+        CHECK(becomes(
+            served, [&] { return served.channels.size() == 2; }, yield));
+    });
+}
