Callers' connections: a caller that leaves is noticed while its next request waits

Evidence: aCallerThatLeavesWhileARequestWaitsIsNoticed and aCallerThatLeavesAfterFurtherBytesIsNoticed failed before (each waited 10 s for it) and pass; 192 unit tests pass.

--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t bodyPartBytes = 64 * 1024;
 constexpr std::size_t firstReadBytes = 4 * 1024;
+/// No more is read ahead of its turn only to learn whether the caller is still there.
+constexpr std::size_t watchedBytes = 16 * 1024;
 constexpr Seconds writeTimeout { 30 };
 /// How long input is read and discarded after a response to a request that was not read whole.
 constexpr Milliseconds lingerTime { 1'000 };
@@ -480,18 +482,26 @@
 
 void CallerConnection::awaitPending(Yield yield)
 {
-    ErrorCode ignored;
-    while (hasPendingResponses()) {
-        responsesChanged_.async_wait(yield[ignored]);
-    }
+    waitWhile([this] { return hasPendingResponses(); }, yield);
 }
 
 void CallerConnection::waitForRoom(Yield yield)
 {
+    waitWhile([this] { return responses_.isFull() && !responses_.isDisconnected(); }, yield);
+}
+
+// Nothing else reads meanwhile, which would show that the caller has disconnected.
+void CallerConnection::waitWhile(const std::function<bool()> &condition, Yield yield)
+{
+    if (!condition()) {
+        return;
+    }
+    watchDisconnect([this] { dropResponses(DropCause::callerClosed); });
     ErrorCode ignored;
-    while (responses_.isFull() && !responses_.isDisconnected()) {
+    while (condition()) {
         responsesChanged_.async_wait(yield[ignored]);
     }
+    stopWatching();
 }
 
 // Sends what is ready until \p pending was sent or dropped. What a response holds of the memory is
@@ -605,17 +615,16 @@
     stream_.socket().async_wait(
         TcpSocket::wait_read, [self = shared_from_this(), weakCallback](ErrorCode error) {
             const auto callback = weakCallback.lock();
-            if (!callback || error) {
+            if (!callback || error || self->buffer_.size() >= watchedBytes) {
                 return;
             }
-            // Pending bytes are the caller's next request; an end of stream or an error means that
-            // it has disconnected.
-            char byte = 0;
-            const auto seen
-                = ::recv(self->stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-            if (seen == 0 || (seen < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
-                (*callback)();
+            // Bytes belong to the caller's next requests, and the end of the stream may be behind.
+            const ErrorCode received = self->receiveNow();
+            if (!received || received == asio::error::would_block) {
+                self->watch();
+                return;
             }
+            (*callback)();
         });
 }
 
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -102,6 +102,7 @@
     bool hasPendingResponses() const { return !responses_.isEmpty() || isSending_; }
     void awaitPending(Yield yield);
     void waitForRoom(Yield yield);
+    void waitWhile(const std::function<bool()> &condition, Yield yield);
     void failPending(const PendingResponsePtr &pending, Yield yield);
     void sendUntilEnd(const PendingResponse &pending, Yield yield);
     void sendPending(PendingResponse &next, Yield yield);
--- a/test/correctness/KeptConnections.cpp
+++ b/test/correctness/KeptConnections.cpp
@@ -10,6 +10,7 @@
 
 constexpr Milliseconds shortTimeout { 50 };
 constexpr Seconds testTimeout { 20 };
+const std::string booking = "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
 const std::string lookup = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
 HttpResponse okResponse(const std::string &body)
@@ -41,11 +42,30 @@
         hooks.responsesDropped = [this](DropCause, std::size_t count) { dropped += count; };
         connection = std::make_shared<CallerConnection>(loop, std::move(socket));
         connection->serve(
-            [this](CallerConnection &served, Yield) { channels.push_back(served.readAhead()); },
+            [this](CallerConnection &served, Yield inner) {
+                if (served.header().method() == http::verb::post) {
+                    serveAlone(served, inner);
+                } else {
+                    channels.push_back(served.readAhead());
+                }
+            },
             std::move(hooks), yield);
         closed = true;
     }
 
+    // Serves a booking until its caller leaves.
+    void serveAlone(CallerConnection &served, Yield yield)
+    {
+        if (served.awaitResponses(yield)) {
+            bookingRuns = true;
+            served.watchDisconnect([this] { bookingRuns = false; });
+            while (bookingRuns) {
+                pauseFor(loop, Milliseconds(1), yield);
+            }
+        }
+        served.abort();
+    }
+
     // Runs the caller's side until it ends.
     template <typename Function>
     void run(Function function)
@@ -74,6 +94,7 @@
     std::vector<ResponseChannel> channels;
     Milliseconds headerTimeout { 10'000 };
     std::size_t dropped = 0;
+    bool bookingRuns = false;
     bool closed = false;
 };
 
@@ -208,3 +229,37 @@
             served, [&] { return served.channels.size() == 2; }, yield));
     });
 }
+
+// Guards against work that goes on for a caller that left while a request waited for its turn.
+TEST(KeptConnections, aCallerThatLeavesWhileARequestWaitsIsNoticed)
+{
+    served.run([&](TcpSocket &caller, Yield yield) {
+        send(caller, lookup + booking, yield);
+        CHECK(becomes(
+            served, [&] { return served.channels.size() == 1; }, yield));
+        bool noticed = false;
+        served.channels[0].watchDisconnect([&] { noticed = true; });
+        caller.close();
+        CHECK(becomes(
+            served, [&] { return noticed; }, yield));
+        served.channels[0].abort();
+        CHECK(becomes(
+            served, [&] { return served.closed; }, yield));
+        CHECK_FALSE(served.bookingRuns);
+    });
+}
+
+// Guards against work that goes on for a caller that left after it had sent a further request.
+TEST(KeptConnections, aCallerThatLeavesAfterFurtherBytesIsNoticed)
+{
+    served.run([&](TcpSocket &caller, Yield yield) {
+        send(caller, booking, yield);
+        CHECK(becomes(
+            served, [&] { return served.bookingRuns; }, yield));
+        send(caller, booking, yield);
+        pauseFor(served.loop, Milliseconds(5), yield);
+        caller.close();
+        CHECK(becomes(
+            served, [&] { return !served.bookingRuns; }, yield));
+    });
+}
