Tests: the fleet of the planned stops shares no address with the default fleet

Run beside test_entry_and_target_failures.py, two of the four tests of planned stops ended in errors once, and in another run one of BadInput did: the members of the one fleet listen where the entries of the other have their internal port (127.0.0.1:9001).

--- a/test/processes/test_planned_stop.py
+++ b/test/processes/test_planned_stop.py
@@ -36,7 +36,7 @@
 
 class PlannedStop(unittest.TestCase):
     def setUp(self):
-        self.fleet = StoppedFleet(base=1900, entries=1)
+        self.fleet = StoppedFleet(base=1960, entries=1)
         self.addCleanup(self.fleet.stop)
         self.fleet.start()
         self.fleet.put_document(document_with_long_route())
