Pipelining: a request that fails inside is answered after its exception was handled

The response was written inside the handler of the exception, where a coroutine that is suspended leaves the thread's exception state to others.

--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -232,20 +232,25 @@
     const auto request = std::make_shared<HostRouteRequest>(
         hostRouteRequest(caller.header(), *routing, route, start));
     request->caller = caller.readAhead();
-    spawnOn(loop_, [this, request](Yield inner) {
-        try {
-            setBody(*request, HttpRequest(request->request.header), nullptr);
-            if (!refuseIfQuarantined(*request, inner)) {
-                serveHostRouteRequest(*request, inner);
-            }
-        } catch (const std::exception &exception) {
-            reportFailure(exception.what());
-            request->caller.fail(inner);
-        }
-    });
+    spawnOn(loop_, [this, request](Yield inner) { servePipelined(*request, inner); });
     return true;
 }
 
+// A coroutine must not be suspended while it handles an exception.
+void EntryWorker::servePipelined(HostRouteRequest &request, Yield yield)
+{
+    try {
+        setBody(request, HttpRequest(request.request.header), nullptr);
+        if (!refuseIfQuarantined(request, yield)) {
+            serveHostRouteRequest(request, yield);
+        }
+        return;
+    } catch (const std::exception &exception) {
+        reportFailure(exception.what());
+    }
+    request.caller.fail(yield);
+}
+
 void EntryWorker::serveHostRoute(CallerConnection &caller, TimePoint start, Yield yield)
 {
     const auto host = caller.header()[http::field::host];
--- a/src/coordination/entry/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -37,6 +37,7 @@
     void handle(CallerConnection &caller, Yield yield);
     void admit(CallerConnection &caller, const RouteMatch &match, TimePoint deadline, Yield yield);
     bool serveReadAhead(CallerConnection &caller, TimePoint start);
+    void servePipelined(HostRouteRequest &request, Yield yield);
     void serveHostRoute(CallerConnection &caller, TimePoint start, Yield yield);
     HostRouteRequest hostRouteRequest(const http::request_header<> &header,
                                       const RoutingTable &routing, const ActiveRoutePtr &route,
