--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -41,8 +41,8 @@
 } // namespace
 
 CallerConnection::CallerConnection(asio::io_context &context, TcpSocket socket)
-    : context_(context), stream_(std::move(socket)), responsesChanged_(context, TimePoint::max()),
-      idleTimer_(context), inputTimer_(context)
+    : context_(context), stream_(std::move(socket)), input_(context, stream_),
+      responsesChanged_(context, TimePoint::max()), idleTimer_(context)
 {
 }
 
@@ -95,6 +95,11 @@
 {
     hooks_.handlerFailed(what);
     stopWatching();
+    respondFailed(yield);
+}
+
+void CallerConnection::respondFailed(Yield yield)
+{
     if (responseStarted_ || !awaitResponses(yield)) {
         hooks_.responsesDropped(DropCause::handlerFailed, 1);
         abort();
@@ -120,7 +125,7 @@
 // a response.
 bool CallerConnection::mayReadNext()
 {
-    return !closing_ && (!hooks_.isStopping() || hasInput());
+    return !closing_ && (!hooks_.isStopping() || input_.hasArrived());
 }
 
 // A connection with an unread body cannot be kept: the body would be parsed as the next request.
@@ -130,26 +135,15 @@
         && parser_->get().keep_alive();
 }
 
-bool CallerConnection::hasInput()
-{
-    char byte = 0;
-    return buffer_.size() > 0
-        || ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 // Waits for the first bytes of a request; the rest of its header has a timeout of its own. The
 // connection is not idle while responses are pending.
 ErrorCode CallerConnection::waitForRequest(Milliseconds idleTimeout, Yield yield)
 {
-    ErrorCode error;
     idle_ = true;
-    stream_.expires_never();
     if (!hasPendingResponses()) {
         closeWhenIdleFor(idleTimeout);
     }
-    const std::size_t bytes
-        = stream_.async_read_some(buffer_.prepare(firstReadBytes), yield[error]);
-    buffer_.commit(bytes);
+    const ErrorCode error = input_.receive(yield);
     idle_ = false;
     idleTimer_.cancel();
     return error;
@@ -169,17 +163,17 @@
 {
     const CallerLimits limits = hooks_.limits();
     const auto headerBytes = static_cast<std::size_t>(limits.maxHeaderBytes);
-    buffer_.max_size(std::max(buffer_.size(), headerBytes + bodyPartBytes));
+    input_.limitTo(headerBytes + bodyPartBytes);
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(headerBytes));
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     continueSent_ = false;
     ErrorCode error;
-    if (buffer_.size() == 0) {
+    if (input_.size() == 0) {
         error = waitForRequest(limits.idleTimeout, yield);
     }
     if (!error) {
-        error = readHeaderUntil(Clock::now() + limits.headerTimeout, yield);
+        error = input_.readHeader(*parser_, Clock::now() + limits.headerTimeout, yield);
     }
     if (error) {
         rejectBadHeader(error, yield);
@@ -188,83 +182,6 @@
     return !rejectAmbiguous(yield);
 }
 
-ErrorCode CallerConnection::readHeaderUntil(TimePoint until, Yield yield)
-{
-    ErrorCode error;
-    while (!error && !parser_->is_header_done()) {
-        error = parseBuffered();
-        if (error == http::error::need_more) {
-            error = receiveUntil(until, yield);
-        }
-    }
-    return error;
-}
-
-ErrorCode CallerConnection::parseBuffered()
-{
-    if (buffer_.size() == 0) {
-        return http::error::need_more;
-    }
-    ErrorCode error;
-    buffer_.consume(parser_->put(buffer_.data(), error));
-    return error;
-}
-
-ErrorCode CallerConnection::receiveNow()
-{
-    const std::size_t free = buffer_.max_size() - buffer_.size();
-    const std::size_t wanted = std::max(firstReadBytes, buffer_.capacity() - buffer_.size());
-    const auto room = buffer_.prepare(std::min(free, wanted));
-    if (room.size() == 0) {
-        return http::error::buffer_overflow;
-    }
-    ssize_t received = -1;
-    do {
-        received = ::recv(stream_.socket().native_handle(), room.data(), room.size(), MSG_DONTWAIT);
-    } while (received < 0 && errno == EINTR);
-    if (received == 0) {
-        return asio::error::eof;
-    }
-    if (received < 0) {
-        return errno == EAGAIN ? ErrorCode(asio::error::would_block)
-                               : ErrorCode(errno, boost::system::system_category());
-    }
-    buffer_.commit(static_cast<std::size_t>(received));
-    return {};
-}
-
-// The stream's own timer would close the connection and cut the responses that are due on it. What
-// has arrived by the time that the timer is noticed is in time.
-ErrorCode CallerConnection::receiveUntil(TimePoint until, Yield yield)
-{
-    ErrorCode waited;
-    ErrorCode error = receiveNow();
-    while (error == asio::error::would_block && !waited) {
-        waited = awaitInput(until, yield);
-        error = receiveNow();
-    }
-    return error == asio::error::would_block ? waited : error;
-}
-
-ErrorCode CallerConnection::awaitInput(TimePoint until, Yield yield)
-{
-    if (!isInputAwaited_) {
-        isInputAwaited_ = true;
-        stream_.socket().async_wait(TcpSocket::wait_read,
-                                    [self = shared_from_this()](ErrorCode error) {
-                                        self->isInputAwaited_ = false;
-                                        self->inputError_ = error;
-                                        self->inputTimer_.cancel();
-                                    });
-    }
-    ErrorCode ignored;
-    while (isInputAwaited_ && Clock::now() < until) {
-        inputTimer_.expires_at(until);
-        inputTimer_.async_wait(yield[ignored]);
-    }
-    return isInputAwaited_ ? ErrorCode(asio::error::timed_out) : inputError_;
-}
-
 bool CallerConnection::rejectAmbiguous(Yield yield)
 {
     const char *ambiguity = ambiguityOf(header(), hasBody());
@@ -341,13 +258,13 @@
         body.resize(next);
         parser_->get().body().data = body.data() + before;
         parser_->get().body().size = body.size() - before;
-        error = parseBuffered();
+        error = input_.parse(*parser_);
         body.resize(body.size() - parser_->get().body().size);
         if (error == http::error::need_buffer) {
             error = {};
         }
         if (error == http::error::need_more) {
-            error = receiveUntil(deadline, yield);
+            error = input_.receiveUntil(deadline, yield);
         }
         if (!error && body.size() > limit) {
             error = http::error::body_limit;
@@ -365,10 +282,10 @@
     part.resize(bodyPartBytes);
     parser_->get().body().data = part.data();
     parser_->get().body().size = part.size();
-    error = parseBuffered();
+    error = input_.parse(*parser_);
     if (error == http::error::need_more) {
-        error = receiveUntil(Clock::now() + idleTimeout, yield);
-        error = error ? error : parseBuffered();
+        error = input_.receiveUntil(Clock::now() + idleTimeout, yield);
+        error = error ? error : input_.parse(*parser_);
     }
     part.resize(bodyPartBytes - parser_->get().body().size);
     if (error == http::error::need_more) {
@@ -414,153 +331,6 @@
     return error;
 }
 
-// Pipelining.
-
-bool CallerConnection::canReadAhead()
-{
-    return keepsAlive() && !responses_.isDisconnected();
-}
-
-ResponseChannel CallerConnection::readAhead()
-{
-    wasPipelined_ = true;
-    reusable_ = true;
-    const auto self = shared_from_this();
-    const auto pending = responses_.add(header().method() == http::verb::head);
-    ResponseChannel channel;
-    channel.write = [self, pending](HttpResponse response, Yield yield) {
-        self->responses_.complete(pending, std::move(response));
-        self->sendUntilEnd(*pending, yield);
-    };
-    channel.watchDisconnect = [self, pending](std::function<void()> onDisconnect) {
-        self->responses_.watchDisconnect(pending, std::move(onDisconnect));
-    };
-    channel.stopWatching = [pending] { pending->onDisconnect = nullptr; };
-    channel.fail = [self, pending](Yield yield) { self->failPending(pending, yield); };
-    channel.abort = [self, pending] {
-        self->endPipeline(DropCause::handlerFailed);
-        self->responses_.remove(pending);
-    };
-    return channel;
-}
-
-// One request that fails must not cost the others of its connection their responses.
-void CallerConnection::failPending(const PendingResponsePtr &pending, Yield yield)
-{
-    pending->onDisconnect = nullptr;
-    if (pending->isReady || pending->isEnded) {
-        endPipeline(DropCause::handlerFailed);
-        responses_.remove(pending);
-        return;
-    }
-    responses_.complete(pending, refusal(RefusalReason::internalError, RunOutcome::unknown));
-    sendUntilEnd(*pending, yield);
-}
-
-ResponseChannel CallerConnection::channel()
-{
-    const auto self = shared_from_this();
-    ResponseChannel channel;
-    channel.write = [self](HttpResponse response, Yield yield) {
-        (void)self->writeResponse(std::move(response), yield);
-    };
-    channel.watchDisconnect = [self](std::function<void()> onDisconnect) {
-        self->watchDisconnect(std::move(onDisconnect));
-    };
-    channel.stopWatching = [self] { self->stopWatching(); };
-    channel.abort = [self] { self->abort(); };
-    return channel;
-}
-
-bool CallerConnection::awaitResponses(Yield yield)
-{
-    isRequestWaiting_ = true;
-    awaitPending(yield);
-    isRequestWaiting_ = false;
-    return !closing_ && !responses_.isDisconnected();
-}
-
-void CallerConnection::awaitPending(Yield yield)
-{
-    waitWhile([this] { return hasPendingResponses(); }, yield);
-}
-
-void CallerConnection::waitForRoom(Yield yield)
-{
-    waitWhile([this] { return responses_.isFull() && !responses_.isDisconnected(); }, yield);
-}
-
-// Nothing else reads meanwhile, which would show that the caller has disconnected.
-void CallerConnection::waitWhile(const std::function<bool()> &condition, Yield yield)
-{
-    if (!condition()) {
-        return;
-    }
-    watchDisconnect([this] { dropResponses(DropCause::callerClosed); });
-    ErrorCode ignored;
-    while (condition()) {
-        responsesChanged_.async_wait(yield[ignored]);
-    }
-    stopWatching();
-}
-
-// Sends what is ready until \p pending was sent or dropped. What a response holds of the memory is
-// given back by its request, which so lasts as long as the response.
-void CallerConnection::sendUntilEnd(const PendingResponse &pending, Yield yield)
-{
-    ErrorCode ignored;
-    while (!pending.isEnded) {
-        const PendingResponsePtr next = isSending_ ? nullptr : responses_.takeReady();
-        if (next) {
-            sendPending(*next, yield);
-        } else {
-            responsesChanged_.async_wait(yield[ignored]);
-        }
-    }
-    responsesChanged_.cancel();
-    if (idle_ && !hasPendingResponses()) {
-        closeWhenIdleFor(hooks_.limits().idleTimeout);
-    }
-}
-
-// During a planned stop only the last response closes the connection, since requests behind a
-// response that closes it count as not read.
-void CallerConnection::sendPending(PendingResponse &next, Yield yield)
-{
-    isSending_ = true;
-    const bool isLast = responses_.isEmpty() && !isRequestWaiting_ && !mayReadNext();
-    closing_ = closing_ || isLast;
-    next.response.keep_alive(!closing_);
-    const ErrorCode error = writeMessage(next.response, next.isHeadRequest, yield);
-    next.response = {};
-    next.isEnded = true;
-    isSending_ = false;
-    if (error) {
-        hooks_.responsesDropped(DropCause::writeFailed, 1);
-    }
-    if (error || closing_) {
-        endPipeline(DropCause::writeFailed);
-    }
-    responsesChanged_.cancel();
-}
-
-// Ends the wait for the next request. Requests whose response is still pending lose their caller.
-void CallerConnection::endPipeline(DropCause cause)
-{
-    closing_ = true;
-    dropResponses(cause);
-    stream_.cancel();
-}
-
-void CallerConnection::dropResponses(DropCause cause)
-{
-    if (responses_.size() > 0 && !responses_.isDisconnected()) {
-        hooks_.responsesDropped(cause, responses_.size());
-    }
-    responses_.disconnect();
-    responsesChanged_.cancel();
-}
-
 ErrorCode CallerConnection::writeHeader(http::response_header<> responseHeader,
                                         std::optional<std::uint64_t> length, Yield yield)
 {
@@ -612,20 +382,21 @@
 void CallerConnection::watch()
 {
     const std::weak_ptr<std::function<void()>> weakCallback = onDisconnect_;
-    stream_.socket().async_wait(
-        TcpSocket::wait_read, [self = shared_from_this(), weakCallback](ErrorCode error) {
-            const auto callback = weakCallback.lock();
-            if (!callback || error || self->buffer_.size() >= watchedBytes) {
-                return;
-            }
-            // Bytes belong to the caller's next requests, and the end of the stream may be behind.
-            const ErrorCode received = self->receiveNow();
-            if (!received || received == asio::error::would_block) {
-                self->watch();
-                return;
-            }
-            (*callback)();
-        });
+    stream_.socket().async_wait(TcpSocket::wait_read,
+                                [self = shared_from_this(), weakCallback](ErrorCode error) {
+                                    const auto callback = weakCallback.lock();
+                                    if (!callback || error || self->input_.size() >= watchedBytes) {
+                                        return;
+                                    }
+                                    // Bytes belong to the caller's next requests, and the end of
+                                    // the stream may be behind.
+                                    const ErrorCode received = self->input_.receiveNow();
+                                    if (!received || received == asio::error::would_block) {
+                                        self->watch();
+                                        return;
+                                    }
+                                    (*callback)();
+                                });
 }
 
 void CallerConnection::abort()
@@ -643,7 +414,7 @@
 {
     // What has arrived is read first: the timer of a process that stood still is due together with
     // it.
-    if (idle_ && !hasPendingResponses() && !hasInput()) {
+    if (idle_ && !hasPendingResponses() && !input_.hasArrived()) {
         stream_.close();
     }
 }
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -6,6 +6,7 @@
 
 #include "common/Time.h"
 #include "kumquat/Configuration.h"
+#include "protocol/CallerInput.h"
 #include "protocol/DropCause.h"
 #include "protocol/ResponseChannel.h"
 #include "protocol/ResponseQueue.h"
@@ -34,7 +35,7 @@
     /// Called for each request after its header was read; must write a response, readAhead() or
     /// abort(). The caller takes a request that got none of them as not read.
     using Handler = std::function<void(CallerConnection &, Yield)>;
-    using Parser = http::request_parser<http::buffer_body>;
+    using Parser = CallerInput::Parser;
 
     CallerConnection(asio::io_context &context, TcpSocket socket);
 
@@ -89,8 +90,6 @@
 private:
     bool mayReadNext();
     bool keepsAlive();
-    /// True when bytes of a further request have arrived.
-    bool hasInput();
     ErrorCode sendContinueIfExpected(Yield yield);
     void watch();
     void rejectUnread(HttpResponse response, Yield yield);
@@ -98,6 +97,7 @@
     bool rejectAmbiguous(Yield yield);
     bool runHandler(const Handler &handler, Yield yield);
     void failHandler(const char *what, Yield yield);
+    void respondFailed(Yield yield);
     void discardInput(Yield yield);
     bool hasPendingResponses() const { return !responses_.isEmpty() || isSending_; }
     void awaitPending(Yield yield);
@@ -112,17 +112,12 @@
     void endPipeline(DropCause cause);
     ErrorCode waitForRequest(Milliseconds idleTimeout, Yield yield);
     bool readHeader(Yield yield);
-    ErrorCode readHeaderUntil(TimePoint until, Yield yield);
-    ErrorCode parseBuffered();
-    ErrorCode receiveNow();
-    ErrorCode receiveUntil(TimePoint until, Yield yield);
-    ErrorCode awaitInput(TimePoint until, Yield yield);
 
     asio::io_context &context_;
     TcpStream stream_;
     CallerHooks hooks_;
     bool requestUnread_ = false; ///< a response was written before the whole request was read
-    beast::flat_buffer buffer_;
+    CallerInput input_;
     std::optional<Parser> parser_;
     std::shared_ptr<std::function<void()>> onDisconnect_;
     std::optional<http::response<http::buffer_body>> streamedResponse_;
@@ -130,9 +125,6 @@
     ResponseQueue responses_;
     Timer responsesChanged_; ///< never expires; cancelled when a response was sent or removed
     Timer idleTimer_;
-    Timer inputTimer_; ///< cancelled when isInputAwaited_ becomes false
-    ErrorCode inputError_; ///< of the last wait for input
-    bool isInputAwaited_ = false;
     bool isSending_ = false; ///< a response from the queue is being written
     bool isRequestWaiting_ = false; ///< it was read, and others before it have no response yet
     bool wasPipelined_ = false;
--- /dev/null
+++ b/src/protocol/CallerInput.cpp
@@ -0,0 +1,118 @@
+#include "protocol/CallerInput.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace kumquat {
+
+namespace {
+
+constexpr std::size_t firstReadBytes = 4 * 1024;
+
+} // namespace
+
+CallerInput::CallerInput(asio::io_context &context, TcpStream &stream)
+    : stream_(stream), wait_(std::make_shared<Wait>(context))
+{
+}
+
+void CallerInput::limitTo(std::size_t bytes)
+{
+    buffer_.max_size(std::max(buffer_.size(), bytes));
+}
+
+bool CallerInput::hasArrived()
+{
+    char byte = 0;
+    return buffer_.size() > 0
+        || ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+ErrorCode CallerInput::receive(Yield yield)
+{
+    ErrorCode error;
+    stream_.expires_never();
+    const std::size_t bytes
+        = stream_.async_read_some(buffer_.prepare(firstReadBytes), yield[error]);
+    buffer_.commit(bytes);
+    return error;
+}
+
+ErrorCode CallerInput::receiveNow()
+{
+    const std::size_t free = buffer_.max_size() - buffer_.size();
+    const std::size_t wanted = std::max(firstReadBytes, buffer_.capacity() - buffer_.size());
+    const auto room = buffer_.prepare(std::min(free, wanted));
+    if (room.size() == 0) {
+        return http::error::buffer_overflow;
+    }
+    ssize_t received = -1;
+    do {
+        received = ::recv(stream_.socket().native_handle(), room.data(), room.size(), MSG_DONTWAIT);
+    } while (received < 0 && errno == EINTR);
+    if (received == 0) {
+        return asio::error::eof;
+    }
+    if (received < 0) {
+        return errno == EAGAIN ? ErrorCode(asio::error::would_block)
+                               : ErrorCode(errno, boost::system::system_category());
+    }
+    buffer_.commit(static_cast<std::size_t>(received));
+    return {};
+}
+
+// What has arrived by the time that the limit is noticed is in time.
+ErrorCode CallerInput::receiveUntil(TimePoint until, Yield yield)
+{
+    ErrorCode waited;
+    ErrorCode error = receiveNow();
+    while (error == asio::error::would_block && !waited) {
+        waited = awaitInput(until, yield);
+        error = receiveNow();
+    }
+    return error == asio::error::would_block ? waited : error;
+}
+
+// The stream's own timer would close the connection and cut the responses that are due on it.
+ErrorCode CallerInput::awaitInput(TimePoint until, Yield yield)
+{
+    if (!wait_->isPending) {
+        wait_->isPending = true;
+        stream_.socket().async_wait(TcpSocket::wait_read, [wait = wait_](ErrorCode error) {
+            wait->isPending = false;
+            wait->error = error;
+            wait->timer.cancel();
+        });
+    }
+    ErrorCode ignored;
+    while (wait_->isPending && Clock::now() < until) {
+        wait_->timer.expires_at(until);
+        wait_->timer.async_wait(yield[ignored]);
+    }
+    return wait_->isPending ? ErrorCode(asio::error::timed_out) : wait_->error;
+}
+
+ErrorCode CallerInput::parse(Parser &parser)
+{
+    if (buffer_.size() == 0) {
+        return http::error::need_more;
+    }
+    ErrorCode error;
+    buffer_.consume(parser.put(buffer_.data(), error));
+    return error;
+}
+
+ErrorCode CallerInput::readHeader(Parser &parser, TimePoint until, Yield yield)
+{
+    ErrorCode error;
+    while (!error && !parser.is_header_done()) {
+        error = parse(parser);
+        if (error == http::error::need_more) {
+            error = receiveUntil(until, yield);
+        }
+    }
+    return error;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/src/protocol/CallerPipeline.cpp
@@ -0,0 +1,153 @@
+// Pipelined requests of a caller's connection: their responses, in order, and what ends them.
+#include "protocol/CallerConnection.h"
+#include "protocol/Refusal.h"
+
+namespace kumquat {
+
+bool CallerConnection::canReadAhead()
+{
+    return keepsAlive() && !responses_.isDisconnected();
+}
+
+ResponseChannel CallerConnection::readAhead()
+{
+    wasPipelined_ = true;
+    reusable_ = true;
+    const auto self = shared_from_this();
+    const auto pending = responses_.add(header().method() == http::verb::head);
+    ResponseChannel channel;
+    channel.write = [self, pending](HttpResponse response, Yield yield) {
+        self->responses_.complete(pending, std::move(response));
+        self->sendUntilEnd(*pending, yield);
+    };
+    channel.watchDisconnect = [self, pending](std::function<void()> onDisconnect) {
+        self->responses_.watchDisconnect(pending, std::move(onDisconnect));
+    };
+    channel.stopWatching = [pending] { pending->onDisconnect = nullptr; };
+    channel.fail = [self, pending](Yield yield) { self->failPending(pending, yield); };
+    channel.abort = [self, pending] {
+        self->endPipeline(DropCause::handlerFailed);
+        self->responses_.remove(pending);
+    };
+    return channel;
+}
+
+// One request that fails must not cost the others of its connection their responses.
+void CallerConnection::failPending(const PendingResponsePtr &pending, Yield yield)
+{
+    pending->onDisconnect = nullptr;
+    if (pending->isReady || pending->isEnded) {
+        endPipeline(DropCause::handlerFailed);
+        responses_.remove(pending);
+        return;
+    }
+    responses_.complete(pending, refusal(RefusalReason::internalError, RunOutcome::unknown));
+    sendUntilEnd(*pending, yield);
+}
+
+ResponseChannel CallerConnection::channel()
+{
+    const auto self = shared_from_this();
+    ResponseChannel channel;
+    channel.write = [self](HttpResponse response, Yield yield) {
+        (void)self->writeResponse(std::move(response), yield);
+    };
+    channel.watchDisconnect = [self](std::function<void()> onDisconnect) {
+        self->watchDisconnect(std::move(onDisconnect));
+    };
+    channel.stopWatching = [self] { self->stopWatching(); };
+    channel.abort = [self] { self->abort(); };
+    channel.fail = [self](Yield yield) { self->respondFailed(yield); };
+    return channel;
+}
+
+bool CallerConnection::awaitResponses(Yield yield)
+{
+    isRequestWaiting_ = true;
+    awaitPending(yield);
+    isRequestWaiting_ = false;
+    return !closing_ && !responses_.isDisconnected();
+}
+
+void CallerConnection::awaitPending(Yield yield)
+{
+    waitWhile([this] { return hasPendingResponses(); }, yield);
+}
+
+void CallerConnection::waitForRoom(Yield yield)
+{
+    waitWhile([this] { return responses_.isFull() && !responses_.isDisconnected(); }, yield);
+}
+
+// Nothing else reads meanwhile, which would show that the caller has disconnected.
+void CallerConnection::waitWhile(const std::function<bool()> &condition, Yield yield)
+{
+    if (!condition()) {
+        return;
+    }
+    watchDisconnect([this] { dropResponses(DropCause::callerClosed); });
+    ErrorCode ignored;
+    while (condition()) {
+        responsesChanged_.async_wait(yield[ignored]);
+    }
+    stopWatching();
+}
+
+// Sends what is ready until \p pending was sent or dropped. What a response holds of the memory is
+// given back by its request, which so lasts as long as the response.
+void CallerConnection::sendUntilEnd(const PendingResponse &pending, Yield yield)
+{
+    ErrorCode ignored;
+    while (!pending.isEnded) {
+        const PendingResponsePtr next = isSending_ ? nullptr : responses_.takeReady();
+        if (next) {
+            sendPending(*next, yield);
+        } else {
+            responsesChanged_.async_wait(yield[ignored]);
+        }
+    }
+    responsesChanged_.cancel();
+    if (idle_ && !hasPendingResponses()) {
+        closeWhenIdleFor(hooks_.limits().idleTimeout);
+    }
+}
+
+// During a planned stop only the last response closes the connection, since requests behind a
+// response that closes it count as not read.
+void CallerConnection::sendPending(PendingResponse &next, Yield yield)
+{
+    isSending_ = true;
+    const bool isLast = responses_.isEmpty() && !isRequestWaiting_ && !mayReadNext();
+    closing_ = closing_ || isLast;
+    next.response.keep_alive(!closing_);
+    const ErrorCode error = writeMessage(next.response, next.isHeadRequest, yield);
+    next.response = {};
+    next.isEnded = true;
+    isSending_ = false;
+    if (error) {
+        hooks_.responsesDropped(DropCause::writeFailed, 1);
+    }
+    if (error || closing_) {
+        endPipeline(DropCause::writeFailed);
+    }
+    responsesChanged_.cancel();
+}
+
+// Ends the wait for the next request. Requests whose response is still pending lose their caller.
+void CallerConnection::endPipeline(DropCause cause)
+{
+    closing_ = true;
+    dropResponses(cause);
+    stream_.cancel();
+}
+
+void CallerConnection::dropResponses(DropCause cause)
+{
+    if (responses_.size() > 0 && !responses_.isDisconnected()) {
+        hooks_.responsesDropped(cause, responses_.size());
+    }
+    responses_.disconnect();
+    responsesChanged_.cancel();
+}
+
+} // namespace kumquat
