Members: a group with fewer voters than its losses need says so

Class: a margin of safety that is missing without a sign.

Cause: a process isn't told how many members there are, and nothing compared the voters of the group with 2f + 1. Each member now does on its own view: after 10 s with too few, longer than a group takes to form or to replace a voter, it writes event 413 (414 when it ends), and the metrics control_voters and control_voters_wanted and kumquatctl's status show it. Nothing else changes.

--- a/include/kumquat/Event.h
+++ b/include/kumquat/Event.h
@@ -56,6 +56,8 @@
     memberPromoted = 410,
     memberRemoved = 411,
     logLoaded = 412,
+    votersMissing = 413,
+    votersComplete = 414,
     handlerFailed = 500,
     requestMalformed = 501,
     badDatagram = 600,
--- a/src/coordination/consensus/GroupNode.cpp
+++ b/src/coordination/consensus/GroupNode.cpp
@@ -13,6 +13,8 @@
 
 constexpr Milliseconds joinInterval { 300 };
 constexpr Milliseconds onceExpiryInterval { 60'000 };
+/// Longer than a group takes to form or to replace a voter.
+constexpr Milliseconds maxReplacementTime { 10'000 };
 /// Of the entries that are applied before the log may be compacted again.
 constexpr std::size_t maxAppliedBytes = 1024 * 1024;
 
@@ -103,6 +105,7 @@
     raftOptions.seed = random();
     raft_.emplace(raftOptions, self, loaded->hardState, std::move(log), hooks_.now());
     isDiskFull_ = store_.mustReplace();
+    votersCompleteAt_ = hooks_.now();
     loadTime_ = std::chrono::duration_cast<Milliseconds>(hooks_.now() - begin);
     logEvent(Event::logLoaded, LogLevel::info,
              "member={} bytes={} snapshotIndex={} lastIndex={} ms={}", options_.name,
@@ -162,6 +165,7 @@
     requestJoin();
     expireOnceRecords();
     processOutput();
+    watchVoterCount();
 }
 
 void GroupNode::receive(const RaftMessage &message)
@@ -292,6 +296,25 @@
     }
 }
 
+// A process is not told how many members a deployment has, so too few of them show only here: the
+// group works, but bears fewer losses than it must.
+void GroupNode::watchVoterCount()
+{
+    const TimePoint now = hooks_.now();
+    const std::size_t voters = raft_->voterCount();
+    if (raft_->epoch() == 0 || voters >= wantedVoters()) {
+        votersCompleteAt_ = now;
+    }
+    const bool lacksVoters = now - votersCompleteAt_ > maxReplacementTime;
+    if (lacksVoters == lacksVoters_) {
+        return;
+    }
+    lacksVoters_ = lacksVoters;
+    logEvent(lacksVoters ? Event::votersMissing : Event::votersComplete,
+             lacksVoters ? LogLevel::warning : LogLevel::info, "member={} voters={} wanted={}",
+             options_.name, voters, wantedVoters());
+}
+
 void GroupNode::collectOutput()
 {
     RaftOutput output = raft_->takeOutput();
--- a/src/coordination/consensus/GroupNode.h
+++ b/src/coordination/consensus/GroupNode.h
@@ -90,6 +90,9 @@
     const LogStore &store() const { return store_; }
     bool isVoter() const { return raft_->self().voter; }
     bool isDiskFull() const { return isDiskFull_; }
+    std::size_t wantedVoters() const { return options_.raft.maxVoters; }
+    /// True when the group has had fewer than wantedVoters() for longer than a replacement takes.
+    bool lacksVoters() const { return lacksVoters_; }
     /// Time that start() took to read and restore the stored state.
     Milliseconds loadTime() const { return loadTime_; }
 
@@ -122,6 +125,7 @@
     std::string addressOf(MemberId id) const;
     void logLeaderChange();
     void logMembershipChanges();
+    void watchVoterCount();
 
     GroupNodeOptions options_;
     LogStore store_;
@@ -139,6 +143,8 @@
     bool isProcessing_ = false;
     bool wasLeader_ = false;
     Milliseconds loadTime_ { 0 };
+    bool lacksVoters_ = false;
+    TimePoint votersCompleteAt_; ///< when the group last had all voters, or the start
     TimePoint nextJoinAt_;
     TimePoint nextExpiryAt_;
 };
--- a/src/coordination/consensus/Raft.h
+++ b/src/coordination/consensus/Raft.h
@@ -132,6 +132,7 @@
     const RaftLog &log() const { return log_; }
     const GroupMember &self() const { return self_; }
     const std::vector<GroupMember> &members() const { return members_; }
+    std::size_t voterCount() const;
     const HardState &hardState() const { return hardState_; }
 
 private:
@@ -217,7 +218,6 @@
 
     RaftMessage makeMessage(RaftMessageType type, MemberId to) const;
     bool isMajority(const std::set<MemberId> &ids) const;
-    std::size_t voterCount() const;
     const GroupMember *findMember(MemberId id) const;
     bool isLogUpToDate(const RaftMessage &message) const;
 
--- a/src/coordination/control/ControlOperations.cpp
+++ b/src/coordination/control/ControlOperations.cpp
@@ -194,6 +194,9 @@
     value["snapshotIndex"] = Json::UInt64(raft.log().snapshot().index);
     value["configurationNumber"] = Json::UInt64(node_->state().configuration().number());
     value["onceRecords"] = Json::UInt64(node_->state().once().size());
+    value["voters"] = Json::UInt64(raft.voterCount());
+    value["votersWanted"] = Json::UInt64(node_->wantedVoters());
+    value["lacksVoters"] = node_->lacksVoters();
     value["members"] = Json::Value(Json::arrayValue);
     for (const GroupMember &member : raft.members()) {
         Json::Value item;
@@ -221,6 +224,8 @@
     MetricsPage page;
     page.gauge("control_leads", {}, raft.isLeader() ? 1 : 0);
     page.gauge("control_term", {}, static_cast<double>(raft.term()));
+    page.gauge("control_voters", {}, static_cast<double>(raft.voterCount()));
+    page.gauge("control_voters_wanted", {}, static_cast<double>(node_->wantedVoters()));
     page.gauge("control_committed", {}, static_cast<double>(raft.commitIndex()));
     page.counter("control_syncs_total", {}, static_cast<double>(node_->store().syncs()));
     page.counter("control_log_bytes_total", {}, static_cast<double>(node_->store().bytesWritten()));
