Settings: a refused reload shows in metrics, dump and status until it is mended

Entries and members now have the gauge settings_rejected and, in their dump and in kumquatctl's status, settingsRejected, from the refusal until a file that can be read takes its place. What is kept or served doesn't change; keeping the last good settings over a restart is not built.

Evidence: test_a_refused_settings_file_shows_until_it_is_mended failed on the build before (no such member of the dump) and passes, once each.

--- a/src/coordination/control/ControlDocuments.cpp
+++ b/src/coordination/control/ControlDocuments.cpp
@@ -77,7 +77,8 @@
         return;
     }
     const auto settings = parseControlSettings("settings", *text);
-    if (!settings.ok()) {
+    settingsRejected_ = !settings.ok();
+    if (settingsRejected_) {
         logEvent(Event::settingsRejected, LogLevel::error, "{}",
                  std::string(settings.status().message()));
         return;
--- a/src/coordination/control/ControlOperations.cpp
+++ b/src/coordination/control/ControlOperations.cpp
@@ -197,6 +197,7 @@
     value["voters"] = Json::UInt64(raft.voterCount());
     value["votersWanted"] = Json::UInt64(node_->wantedVoters());
     value["lacksVoters"] = node_->lacksVoters();
+    value["settingsRejected"] = settingsRejected_;
     value["members"] = Json::Value(Json::arrayValue);
     for (const GroupMember &member : raft.members()) {
         Json::Value item;
@@ -224,6 +225,7 @@
     MetricsPage page;
     page.gauge("control_leads", {}, raft.isLeader() ? 1 : 0);
     page.gauge("control_term", {}, static_cast<double>(raft.term()));
+    page.gauge("settings_rejected", {}, settingsRejected_ ? 1 : 0);
     page.gauge("control_voters", {}, static_cast<double>(raft.voterCount()));
     page.gauge("control_voters_wanted", {}, static_cast<double>(node_->wantedVoters()));
     page.gauge("control_committed", {}, static_cast<double>(raft.commitIndex()));
--- a/src/coordination/control/ControlServer.h
+++ b/src/coordination/control/ControlServer.h
@@ -95,6 +95,7 @@
 
     ControlSettings settings_;
     FileWatch settingsWatch_;
+    bool settingsRejected_ = false; ///< a start with the file as it is now would fail
     TimePoint settingsCheckedAt_;
     Disk disk_;
     Address address_;
--- a/src/coordination/entry/EntryCoordinator.h
+++ b/src/coordination/entry/EntryCoordinator.h
@@ -107,6 +107,7 @@
     EntryCore &core_;
     EntrySettings settings_;
     FileWatch settingsWatch_;
+    bool settingsRejected_ = false; ///< a start with the file as it is now would fail
     asio::io_context loop_ { 1 };
     std::shared_ptr<Authenticator> authenticator_;
     std::shared_ptr<HttpServer> server_;
--- a/src/coordination/entry/EntryFeed.cpp
+++ b/src/coordination/entry/EntryFeed.cpp
@@ -249,7 +249,8 @@
         return;
     }
     const auto settings = parseEntrySettings("settings", *text);
-    if (!settings.ok()) {
+    settingsRejected_ = !settings.ok();
+    if (settingsRejected_) {
         logEvent(Event::settingsRejected, LogLevel::error, "{}",
                  std::string(settings.status().message()));
         return;
--- a/src/coordination/entry/EntryStatus.cpp
+++ b/src/coordination/entry/EntryStatus.cpp
@@ -99,6 +99,7 @@
     value["ready"] = core_.ready.load();
     value["stopping"] = core_.stop.hasBegun();
     value["controlReachable"] = controlReachable_;
+    value["settingsRejected"] = settingsRejected_;
     value["configuration"]["epoch"] = Json::UInt64(routing->version.epoch);
     value["configuration"]["number"] = Json::UInt64(routing->version.number);
     value["livePeers"] = Json::UInt64(gossip_->livePeers());
@@ -128,6 +129,7 @@
                      static_cast<double>(dropped));
     }
     page.gauge("control_reachable", {}, controlReachable_ ? 1 : 0);
+    page.gauge("settings_rejected", {}, settingsRejected_ ? 1 : 0);
     page.gauge("configuration_number", {}, static_cast<double>(routing->version.number));
     page.counter("configuration_fetches_total", {}, static_cast<double>(fetchCount_));
     page.gauge("live_peers", {}, static_cast<double>(gossip_->livePeers()));
--- a/test/processes/test_platform.py
+++ b/test/processes/test_platform.py
@@ -87,6 +87,28 @@
                    "the settings file to be refused")
         self.assertEqual(self.fleet.request(0, "/lookup/x")[0], 200)
 
+    # Guards against settings that the next start would refuse while the process looks healthy.
+    def test_a_refused_settings_file_shows_until_it_is_mended(self):
+        for name, address in (("entry-0", self.fleet.ready_addresses[0]),
+                              ("control-0", self.fleet.control_addresses[0])):
+            path = os.path.join(self.fleet.folder, name + ".json")
+            with open(path) as file:
+                good = file.read()
+            for text, rejected in ((good, False), ("{ broken", True), (good, False)):
+                with open(path, "w") as file:
+                    file.write(text)
+                wait_until(lambda: self.fleet.metric(address, "kumquat_settings_rejected")
+                           == (1 if rejected else 0), 10, f"{name} to tell rejected={rejected}")
+                self.assertEqual(self.dump(address)["settingsRejected"], rejected)
+            self.assertIn("kumquat_settings_rejected 0",
+                          self.fleet.call(address, "GET", "/kumquat/v1/metrics")[2].decode())
+
+    def dump(self, address):
+        """What kumquatctl dump prints."""
+        command = [os.path.join(self.fleet.build, "kumquatctl"), "dump", "--address=" + address]
+        return json.loads(subprocess.run(command, check=True, capture_output=True,
+                                         timeout=10).stdout)
+
     def log_of(self, name):
         with open(self.fleet.processes[name].log_path) as file:
             return file.read()
