Uploads: a body that stalls gets a response

Callers saw: an upload whose body paused for longer than uploadIdleTimeout ended with a reset and no response, though its target was at work or had answered.

Cause: a pause of the caller counted as the caller's end, so the connection was aborted.

Evidence: aBodyThatStallsGetsAResponse failed before: the caller received nothing at all.

Why this works: reading now tells lateness (timed_out) from an end. What the target has answered by then is relayed; otherwise the caller gets a 504 with outcome unknown, since the target may have run what it has, and the connection closes after it. The target's connection is still closed in the middle of the body, by which it detects the incomplete upload.

--- a/src/coordination/entry/UploadCall.cpp
+++ b/src/coordination/entry/UploadCall.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /// How relaying the body of an upload ended.
-enum class BodyOutcome { complete, callerFailed, targetFailed, earlyResponse };
+enum class BodyOutcome { complete, callerFailed, callerStalled, targetFailed, earlyResponse };
 
 BodyOutcome relayBody(Call &call, TargetConnection &connection, Yield yield)
 {
@@ -18,7 +18,11 @@
     std::string part;
     while (!call.caller.isBodyRead()) {
         part.clear();
-        if (call.caller.readSomeBody(part, idle, yield)) {
+        const ErrorCode error = call.caller.readSomeBody(part, idle, yield);
+        if (error == asio::error::timed_out) {
+            return connection.hasInput() ? BodyOutcome::earlyResponse : BodyOutcome::callerStalled;
+        }
+        if (error) {
             return BodyOutcome::callerFailed;
         }
         connection.setDeadline(Clock::now() + idle);
@@ -110,6 +114,13 @@
         call.caller.abort();
         return;
     }
+    if (bodyOutcome == BodyOutcome::callerStalled) {
+        // As above; the target may have run what it has.
+        connection->close();
+        releaseTarget(*call.service, *target);
+        refuse(call, RefusalReason::deadlineExceeded, RunOutcome::unknown, yield);
+        return;
+    }
     if (bodyOutcome == BodyOutcome::targetFailed) {
         target->stats->recordFailure(Clock::now());
         releaseTarget(*call.service, *target);
--- /dev/null
+++ b/test/correctness/UploadsAnswered.cpp
@@ -0,0 +1,109 @@
+// An upload gets a response, whichever of its caller and its target stalls or is early.
+#include "LoopbackTarget.h"
+#include "coordination/entry/Call.h"
+
+using namespace kumquat;
+using namespace kumquat::test;
+
+namespace {
+
+constexpr Milliseconds shortTimeout { 50 };
+constexpr Milliseconds longTimeout { 60'000 };
+constexpr Seconds testTimeout { 20 };
+
+std::string uploadHeader(std::size_t length)
+{
+    return "PUT /u HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: "
+        + std::to_string(length) + "\r\n\r\n";
+}
+
+} // namespace
+
+TEST_GROUP(UploadsAnswered)
+{
+    asio::io_context loop { 1 };
+    EntryHooks hooks = idleHooks();
+    Worker worker { loop, hooks, 96 * 1024 * 1024, 1 };
+    std::shared_ptr<ActiveService> service = std::make_shared<ActiveService>();
+    TcpAcceptor acceptor { loop, TcpEndpoint(asio::ip::address_v4::loopback(), 0) };
+    Milliseconds deadline = longTimeout;
+    bool served = false;
+
+    void setup() override
+    {
+        service->runtime = std::make_shared<ServiceRuntime>();
+        service->policy = [](const std::vector<Candidate> &, std::uint64_t) { return 0; };
+        service->configuration.uploadIdleTimeout = longTimeout;
+    }
+
+    void serve(Yield yield)
+    {
+        TcpSocket socket(loop);
+        ErrorCode error;
+        acceptor.async_accept(socket, yield[error]);
+        CallerHooks callerHooks;
+        callerHooks.isStopping = [] { return false; };
+        callerHooks.limits = [] { return CallerLimits(); };
+        callerHooks.handlerFailed = [](const char *what) { FAIL(what); };
+        const auto caller = std::make_shared<CallerConnection>(loop, std::move(socket));
+        caller->serve(
+            [this](CallerConnection &connection, Yield inner) {
+                Call call { connection, worker, service, Clock::now() + deadline, {}, 0 };
+                call.request = HttpRequest(forwardedHeader(connection.header(), call.deadline));
+                serveUpload(call, inner);
+            },
+            std::move(callerHooks), yield);
+        served = true;
+    }
+
+    /// Serves one upload; \p send is the caller's side, which then sends nothing more. Returns what
+    /// the caller gets.
+    template <typename Send>
+    std::string upload(const TargetPtr &target, Send send)
+    {
+        service->targets = { target };
+        spawnOn(loop, [this](Yield yield) { serve(yield); });
+        TcpSocket caller(loop);
+        std::string received;
+        spawnOn(loop, [&](Yield yield) {
+            ErrorCode error;
+            caller.async_connect(acceptor.local_endpoint(), yield[error]);
+            send(caller, yield);
+            asio::async_read(caller, asio::dynamic_buffer(received), yield[error]);
+            caller.close(error);
+            while (!served) {
+                pauseFor(loop, Milliseconds(1), yield);
+            }
+            loop.stop();
+        });
+        loop.run_for(testTimeout);
+        CHECK_TRUE(served);
+        LONGS_EQUAL(0, target->stats->inFlight());
+        return received;
+    }
+
+    std::string upload(const LoopbackTarget &server, const std::string &bytes)
+    {
+        const TargetPtr target = server.target();
+        target->stats->release();
+        return upload(target, [&bytes](TcpSocket &caller, Yield) {
+            asio::write(caller, asio::buffer(bytes));
+        });
+    }
+
+    void checkContains(const std::string &text, const char *part)
+    {
+        CHECK_TEXT(text.find(part) != std::string::npos, (part + (" is not in: " + text)).c_str());
+    }
+};
+
+// Guards against an upload that is cut without a response, since its body stalls.
+TEST(UploadsAnswered, aBodyThatStallsGetsAResponse)
+{
+    service->configuration.uploadIdleTimeout = shortTimeout;
+    LoopbackTarget server(loop, [](int, const std::string &) { return ResponseScript {}; });
+    const std::string received = upload(server, uploadHeader(100) + "half");
+    checkContains(received, "HTTP/1.1 504");
+    checkContains(received, "Kumquat-Outcome: unknown");
+    checkContains(received, "Connection: close");
+}
