Uploads: an early response doesn't wait for the caller's next part

Callers saw: a target that answered before it had the whole body (413, say) was heard only with the caller's next part; a caller that waited for the response before it sent more waited until uploadIdleTimeout. If its deadline had passed meanwhile, the response could be dropped as late.

Cause: nothing looked at the target's side while a part was awaited.

Evidence: anEarlyResponseIsRelayedWhileTheCallerPauses failed before: no response within the test's 20 s. With the change the caller has it after 0.1 s, which is when the target sends it.

Why this works: a pause of the caller is waited for in steps of 10 ms, between which the target's connection is looked at. A response that has begun to arrive gets uploadIdleTimeout to become whole even if the deadline has passed.

--- a/src/coordination/entry/UploadCall.cpp
+++ b/src/coordination/entry/UploadCall.cpp
@@ -1,6 +1,8 @@
 #include "coordination/entry/Call.h"
 #include "protocol/Headers.h"
 
+#include <algorithm>
+
 namespace kumquat {
 
 namespace {
@@ -8,6 +10,21 @@
 /// How relaying the body of an upload ended.
 enum class BodyOutcome { complete, callerFailed, callerStalled, targetFailed, earlyResponse };
 
+/// Between two checks whether the target has responded while the caller pauses.
+constexpr Milliseconds responseCheckInterval { 10 };
+
+// Fails with asio::error::timed_out when the caller has paused for too long or the target has
+// responded meanwhile.
+ErrorCode readPart(Call &call, TargetConnection &connection, std::string &part, Yield yield)
+{
+    const TimePoint until = Clock::now() + call.service->configuration.uploadIdleTimeout;
+    ErrorCode error = asio::error::timed_out;
+    while (error == asio::error::timed_out && !connection.hasInput() && Clock::now() < until) {
+        error = call.caller.readSomeBody(part, responseCheckInterval, yield);
+    }
+    return error;
+}
+
 BodyOutcome relayBody(Call &call, TargetConnection &connection, Yield yield)
 {
     const Milliseconds idle = call.service->configuration.uploadIdleTimeout;
@@ -18,7 +35,7 @@
     std::string part;
     while (!call.caller.isBodyRead()) {
         part.clear();
-        const ErrorCode error = call.caller.readSomeBody(part, idle, yield);
+        const ErrorCode error = readPart(call, connection, part, yield);
         if (error == asio::error::timed_out) {
             return connection.hasInput() ? BodyOutcome::earlyResponse : BodyOutcome::callerStalled;
         }
@@ -41,7 +58,10 @@
                    std::unique_ptr<TargetConnection> connection, BodyOutcome bodyOutcome,
                    Yield yield)
 {
-    connection->setDeadline(call.deadline);
+    // A response that has arrived is not late because its caller was slow.
+    const bool isEarly = bodyOutcome == BodyOutcome::earlyResponse;
+    const TimePoint idleEnd = Clock::now() + call.service->configuration.uploadIdleTimeout;
+    connection->setDeadline(isEarly ? std::max(call.deadline, idleEnd) : call.deadline);
     ErrorCode error = connection->readHeader(false, yield);
     std::string body;
     if (!error) {
--- a/test/correctness/UploadsAnswered.cpp
+++ b/test/correctness/UploadsAnswered.cpp
@@ -10,6 +10,7 @@
 constexpr Milliseconds shortTimeout { 50 };
 constexpr Milliseconds longTimeout { 60'000 };
 constexpr Seconds testTimeout { 20 };
+const std::string refusedEarly = "HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nearly";
 
 std::string uploadHeader(std::size_t length)
 {
@@ -107,3 +108,15 @@
     checkContains(received, "Kumquat-Outcome: unknown");
     checkContains(received, "Connection: close");
 }
+
+// Guards against a response that waits for the caller's next part, or is lost with it.
+TEST(UploadsAnswered, anEarlyResponseIsRelayedWhileTheCallerPauses)
+{
+    deadline = shortTimeout;
+    LoopbackTarget server(loop, [](int, const std::string &) {
+        return ResponseScript { { refusedEarly, EndOfPart::keep, 2 * shortTimeout } };
+    });
+    const std::string received = upload(server, uploadHeader(100) + "half");
+    checkContains(received, "HTTP/1.1 413");
+    checkContains(received, "early");
+}
