Uploads: a response behind a failed sending is relayed

Callers saw: 502 (target-failed, outcome unknown) though the target had answered in full and then closed its connection, when the failure hit the request's header or the end of a chunked body.

Cause: only a failure in the middle of the body looked for a response that had arrived.

Evidence: anEarlyResponseIsRelayedWhenTheEndOfTheBodyCannotBeSent failed before with 502 in place of the target's 413. The test covers the end of the body; the header goes through the same function and has no test of its own.

Why this works: bytes received before a reset stay readable, and every failed sending now asks for them before it blames the target.

--- a/src/coordination/entry/UploadCall.cpp
+++ b/src/coordination/entry/UploadCall.cpp
@@ -25,12 +25,18 @@
     return error;
 }
 
+/// How the body ended when sending it failed.
+BodyOutcome outcomeOfFailure(TargetConnection &connection)
+{
+    return connection.hasInput() ? BodyOutcome::earlyResponse : BodyOutcome::targetFailed;
+}
+
 BodyOutcome relayBody(Call &call, TargetConnection &connection, Yield yield)
 {
     const Milliseconds idle = call.service->configuration.uploadIdleTimeout;
     connection.setDeadline(Clock::now() + idle);
     if (connection.sendHeader(call.request.base(), call.caller.contentLength(), yield)) {
-        return BodyOutcome::targetFailed;
+        return outcomeOfFailure(connection);
     }
     std::string part;
     while (!call.caller.isBodyRead()) {
@@ -44,13 +50,13 @@
         }
         connection.setDeadline(Clock::now() + idle);
         if (!part.empty() && connection.sendBodyPart(part, false, yield)) {
-            return connection.hasInput() ? BodyOutcome::earlyResponse : BodyOutcome::targetFailed;
+            return outcomeOfFailure(connection);
         }
         if (connection.hasInput() && !call.caller.isBodyRead()) {
             return BodyOutcome::earlyResponse;
         }
     }
-    return connection.sendBodyPart("", true, yield) ? BodyOutcome::targetFailed
+    return connection.sendBodyPart("", true, yield) ? outcomeOfFailure(connection)
                                                     : BodyOutcome::complete;
 }
 
--- a/test/correctness/UploadsAnswered.cpp
+++ b/test/correctness/UploadsAnswered.cpp
@@ -92,6 +92,32 @@
         });
     }
 
+    static void send(TcpSocket & socket, const std::string &bytes)
+    {
+        asio::write(socket, asio::buffer(bytes));
+    }
+
+    /// A target whose connection the test serves itself.
+    static TargetPtr targetAt(const TcpAcceptor &targetAcceptor)
+    {
+        auto target = std::make_shared<Target>();
+        target->record.name = "t1";
+        target->record.state = TargetState::ready;
+        target->address = { "127.0.0.1", targetAcceptor.local_endpoint().port() };
+        target->stats = std::make_shared<TargetStats>(1);
+        return target;
+    }
+
+    TcpSocket acceptAndRead(TcpAcceptor & targetAcceptor, const std::string &until, Yield yield)
+    {
+        TcpSocket socket(loop);
+        ErrorCode error;
+        targetAcceptor.async_accept(socket, yield[error]);
+        std::string input;
+        asio::async_read_until(socket, asio::dynamic_buffer(input), until, yield[error]);
+        return socket;
+    }
+
     void checkContains(const std::string &text, const char *part)
     {
         CHECK_TEXT(text.find(part) != std::string::npos, (part + (" is not in: " + text)).c_str());
@@ -120,3 +146,22 @@
     checkContains(received, "HTTP/1.1 413");
     checkContains(received, "early");
 }
+
+// Guards against a response that is lost since its target closed before the end of the body.
+TEST(UploadsAnswered, anEarlyResponseIsRelayedWhenTheEndOfTheBodyCannotBeSent)
+{
+    TcpAcceptor targetAcceptor(loop, TcpEndpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string received
+        = upload(targetAt(targetAcceptor), [&](TcpSocket &caller, Yield yield) {
+              send(caller,
+                   "PUT /u HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+              TcpSocket socket = acceptAndRead(targetAcceptor, "half", yield);
+              pauseFor(loop, shortTimeout, yield);
+              send(socket, refusedEarly);
+              socket.set_option(asio::socket_base::linger(true, 0));
+              socket.close();
+              send(caller, "0\r\n\r\n");
+          });
+    checkContains(received, "HTTP/1.1 413");
+}
