Uploads: an interim response ends no upload

Callers saw: an upload whose target sent an interim response (103, say) before the end of the body got no more of its body passed on, and so a 504 at its deadline.

Cause: any byte of the target counted as its response, for which sending stopped; reading then skipped the interim response and waited for one that the target would send only after the body.

Evidence: anInterimResponseEndsNoUpload failed before: no response within the test's 20 s.

Why this works: complete interim responses are taken from the socket, and the start of one doesn't count, so that only a final response stops the sending. One longer than 4 KiB is left to readHeader(), which reads it after the body.

--- a/src/coordination/entry/UploadCall.cpp
+++ b/src/coordination/entry/UploadCall.cpp
@@ -19,7 +19,7 @@
 {
     const TimePoint until = Clock::now() + call.service->configuration.uploadIdleTimeout;
     ErrorCode error = asio::error::timed_out;
-    while (error == asio::error::timed_out && !connection.hasInput() && Clock::now() < until) {
+    while (error == asio::error::timed_out && !connection.hasResponse() && Clock::now() < until) {
         error = call.caller.readSomeBody(part, responseCheckInterval, yield);
     }
     return error;
@@ -28,7 +28,7 @@
 /// How the body ended when sending it failed.
 BodyOutcome outcomeOfFailure(TargetConnection &connection)
 {
-    return connection.hasInput() ? BodyOutcome::earlyResponse : BodyOutcome::targetFailed;
+    return connection.hasResponse() ? BodyOutcome::earlyResponse : BodyOutcome::targetFailed;
 }
 
 BodyOutcome relayBody(Call &call, TargetConnection &connection, Yield yield)
@@ -43,7 +43,8 @@
         part.clear();
         const ErrorCode error = readPart(call, connection, part, yield);
         if (error == asio::error::timed_out) {
-            return connection.hasInput() ? BodyOutcome::earlyResponse : BodyOutcome::callerStalled;
+            return connection.hasResponse() ? BodyOutcome::earlyResponse
+                                            : BodyOutcome::callerStalled;
         }
         if (error) {
             return BodyOutcome::callerFailed;
@@ -52,7 +53,7 @@
         if (!part.empty() && connection.sendBodyPart(part, false, yield)) {
             return outcomeOfFailure(connection);
         }
-        if (connection.hasInput() && !call.caller.isBodyRead()) {
+        if (connection.hasResponse() && !call.caller.isBodyRead()) {
             return BodyOutcome::earlyResponse;
         }
     }
--- a/src/protocol/TargetConnection.cpp
+++ b/src/protocol/TargetConnection.cpp
@@ -1,6 +1,9 @@
 #include "protocol/TargetConnection.h"
 
+#include <algorithm>
+#include <array>
 #include <netinet/tcp.h>
+#include <string_view>
 #include <sys/socket.h>
 
 namespace kumquat {
@@ -11,6 +14,9 @@
 constexpr std::size_t bodyPartBytes = 64 * 1024;
 constexpr unsigned unackedTimeoutMs = 5'000;
 constexpr int maxInterimResponses = 8; // per request
+constexpr std::size_t maxInterimBytes = 4 * 1024;
+constexpr std::string_view interimStart = "HTTP/1.1 1";
+constexpr std::string_view headerEnd = "\r\n\r\n";
 
 // The parser takes any coding before `chunked`, or none at all, for no coding, also beside a length
 // and in a version without codings. The body would then be passed on with a length that is not its
@@ -165,10 +171,29 @@
     return seen >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-bool TargetConnection::hasInput()
+bool TargetConnection::hasResponse()
 {
-    char byte = 0;
-    return ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    while (skipInterim()) { }
+    std::array<char, interimStart.size()> start {};
+    const auto seen = ::recv(stream_.socket().native_handle(), start.data(), start.size(),
+                             MSG_PEEK | MSG_DONTWAIT);
+    const std::string_view text(start.data(), static_cast<std::size_t>(std::max<ssize_t>(0, seen)));
+    return !text.empty() && interimStart.substr(0, text.size()) != text;
+}
+
+// Only what is an interim response for certain is taken from the socket; readHeader() reads the
+// rest.
+bool TargetConnection::skipInterim()
+{
+    std::array<char, maxInterimBytes> input {};
+    const int socket = stream_.socket().native_handle();
+    const auto seen = ::recv(socket, input.data(), input.size(), MSG_PEEK | MSG_DONTWAIT);
+    const std::string_view text(input.data(), static_cast<std::size_t>(std::max<ssize_t>(0, seen)));
+    const auto end = text.find(headerEnd);
+    if (text.substr(0, interimStart.size()) != interimStart || end == std::string_view::npos) {
+        return false;
+    }
+    return ::recv(socket, input.data(), end + headerEnd.size(), MSG_DONTWAIT) > 0;
 }
 
 void TargetConnection::close()
--- a/src/protocol/TargetConnection.h
+++ b/src/protocol/TargetConnection.h
@@ -47,8 +47,8 @@
     /// True when the target has closed the idle connection or sent unexpected bytes.
     bool isStale();
 
-    /// True when unread input is pending.
-    bool hasInput();
+    /// True when a response has begun to arrive. Interim (1xx) ones are skipped.
+    bool hasResponse();
 
     void close();
 
@@ -59,6 +59,8 @@
     bool isUnused() const { return requestsSent_ == 0; }
 
 private:
+    bool skipInterim();
+
     using Parser = http::response_parser<http::buffer_body>;
 
     Address address_;
--- a/test/correctness/UploadsAnswered.cpp
+++ b/test/correctness/UploadsAnswered.cpp
@@ -165,3 +165,22 @@
           });
     checkContains(received, "HTTP/1.1 413");
 }
+
+// Guards against an upload that is given up at an interim response.
+TEST(UploadsAnswered, anInterimResponseEndsNoUpload)
+{
+    TcpAcceptor targetAcceptor(loop, TcpEndpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string received
+        = upload(targetAt(targetAcceptor), [&](TcpSocket &caller, Yield yield) {
+              send(caller, uploadHeader(8) + "half");
+              TcpSocket socket = acceptAndRead(targetAcceptor, "half", yield);
+              send(socket, "HTTP/1.1 103 Early Hints\r\n\r\n");
+              pauseFor(loop, shortTimeout, yield);
+              send(caller, "rest");
+              std::string input;
+              ErrorCode error;
+              asio::async_read_until(socket, asio::dynamic_buffer(input), "rest", yield[error]);
+              send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+          });
+    checkContains(received, "done");
+}
