Attempts: a response behind a failed sending is the attempt's result

Callers saw: a target that answered before it had read the whole body and then closed counted as failed, although its complete response had arrived. A booking then ended as outcome-unknown, an idempotent request was sent again or refused, and the target got the blame. Only bodies that are longer than what the socket takes at once are concerned.

Cause: after a failed sending nothing read what had arrived.

Evidence: aResponseBehindAFailedSendingIsTheAttemptsResult failed before (outcome not completed). The same test of an exchange of a host route passed before: there a long body is sent while the response is read, so that path had no such fault.

Why this works: bytes received before a reset stay readable, so the response is read as after a sending that succeeded. This is done only on a connection that has carried no other request, since a response there can't be a copy of an earlier one. The connection isn't reused.

--- a/src/coordination/entry/Attempt.cpp
+++ b/src/coordination/entry/Attempt.cpp
@@ -42,13 +42,21 @@
     }
 }
 
+// A target may respond before it has read the whole request, and close then. On a connection in use
+// again the response may be a copy of an earlier one.
+bool hasOwnResponse(TargetConnection &connection)
+{
+    return connection.isFirstExchange() && connection.hasResponse();
+}
+
 AttemptOutcome sendAndReceive(TargetConnection &connection, const HttpRequest &request,
                               const AttemptOptions &options, HttpResponse &response,
                               ErrorCode &error, Yield yield)
 {
     connection.setDeadline(options.deadline);
     error = connection.sendRequest(request, yield);
-    if (!error) {
+    const bool isSent = !error;
+    if (isSent || hasOwnResponse(connection)) {
         error = connection.readHeader(request.method() == http::verb::head, yield);
     }
     std::string body;
@@ -58,6 +66,9 @@
     if (error) {
         return outcomeOf(error);
     }
+    if (!isSent && connection.isResponseComplete()) {
+        connection.close();
+    }
     response = HttpResponse(connection.header());
     response.body() = std::move(body);
     if (isShed(response.result_int(), response)) {
