--- a/src/coordination/entry/UploadCall.cpp
+++ b/src/coordination/entry/UploadCall.cpp
@@ -1,35 +1,63 @@
 #include "coordination/entry/Call.h"
 #include "protocol/Headers.h"
 
+#include <algorithm>
+
 namespace kumquat {
 
 namespace {
 
 /// How relaying the body of an upload ended.
-enum class BodyOutcome { complete, callerFailed, targetFailed, earlyResponse };
+enum class BodyOutcome { complete, callerFailed, callerStalled, targetFailed, earlyResponse };
+
+/// Between two checks whether the target has responded while the caller pauses.
+constexpr Milliseconds responseCheckInterval { 10 };
+
+// Fails with asio::error::timed_out when the caller has paused for too long or the target has
+// responded meanwhile.
+ErrorCode readPart(Call &call, TargetConnection &connection, std::string &part, Yield yield)
+{
+    const TimePoint until = Clock::now() + call.service->configuration.uploadIdleTimeout;
+    ErrorCode error = asio::error::timed_out;
+    while (error == asio::error::timed_out && !connection.hasResponse() && Clock::now() < until) {
+        error = call.caller.readSomeBody(part, responseCheckInterval, yield);
+    }
+    return error;
+}
+
+/// How the body ended when sending it failed.
+BodyOutcome outcomeOfFailure(TargetConnection &connection)
+{
+    return connection.hasResponse() ? BodyOutcome::earlyResponse : BodyOutcome::targetFailed;
+}
 
 BodyOutcome relayBody(Call &call, TargetConnection &connection, Yield yield)
 {
     const Milliseconds idle = call.service->configuration.uploadIdleTimeout;
     connection.setDeadline(Clock::now() + idle);
     if (connection.sendHeader(call.request.base(), call.caller.contentLength(), yield)) {
-        return BodyOutcome::targetFailed;
+        return outcomeOfFailure(connection);
     }
     std::string part;
     while (!call.caller.isBodyRead()) {
         part.clear();
-        if (call.caller.readSomeBody(part, idle, yield)) {
+        const ErrorCode error = readPart(call, connection, part, yield);
+        if (error == asio::error::timed_out) {
+            return connection.hasResponse() ? BodyOutcome::earlyResponse
+                                            : BodyOutcome::callerStalled;
+        }
+        if (error) {
             return BodyOutcome::callerFailed;
         }
         connection.setDeadline(Clock::now() + idle);
         if (!part.empty() && connection.sendBodyPart(part, false, yield)) {
-            return connection.hasInput() ? BodyOutcome::earlyResponse : BodyOutcome::targetFailed;
+            return outcomeOfFailure(connection);
         }
-        if (connection.hasInput() && !call.caller.isBodyRead()) {
+        if (connection.hasResponse() && !call.caller.isBodyRead()) {
             return BodyOutcome::earlyResponse;
         }
     }
-    return connection.sendBodyPart("", true, yield) ? BodyOutcome::targetFailed
+    return connection.sendBodyPart("", true, yield) ? outcomeOfFailure(connection)
                                                     : BodyOutcome::complete;
 }
 
@@ -37,7 +65,10 @@
                    std::unique_ptr<TargetConnection> connection, BodyOutcome bodyOutcome,
                    Yield yield)
 {
-    connection->setDeadline(call.deadline);
+    // A response that has arrived is not late because its caller was slow.
+    const bool isEarly = bodyOutcome == BodyOutcome::earlyResponse;
+    const TimePoint idleEnd = Clock::now() + call.service->configuration.uploadIdleTimeout;
+    connection->setDeadline(isEarly ? std::max(call.deadline, idleEnd) : call.deadline);
     ErrorCode error = connection->readHeader(false, yield);
     std::string body;
     if (!error) {
@@ -110,6 +141,13 @@
         call.caller.abort();
         return;
     }
+    if (bodyOutcome == BodyOutcome::callerStalled) {
+        // As above; the target may have run what it has.
+        connection->close();
+        releaseTarget(*call.service, *target);
+        refuse(call, RefusalReason::deadlineExceeded, RunOutcome::unknown, yield);
+        return;
+    }
     if (bodyOutcome == BodyOutcome::targetFailed) {
         target->stats->recordFailure(Clock::now());
         releaseTarget(*call.service, *target);
