Callers' connections: what a pending read has taken counts as arrived

After a pause of the process a connection was closed as idle although its next request had come. The request was then served all the same, or passed on, and its response could not be written (event 336, write-failed): callers saw the end of the connection after up to 2.8 s and no response.

Cause: waiting for a request was a pending read. On waking, the reactor completes it and the idle timer together. While the watch for an earlier request's caller is still pending on the socket, the read's completion comes behind the timer's: the bytes have left the socket and are not in the buffer yet, so that neither place shows them and the timer closes the connection.

Now only the arrival is awaited, and the bytes are received when they are used; until then they stay in the socket, where the timer's handler finds them.

--- a/src/protocol/CallerInput.cpp
+++ b/src/protocol/CallerInput.cpp
@@ -29,14 +29,11 @@
         || ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+// Bytes stay in the socket until they are used: hasArrived() misses what a pending read has taken.
 ErrorCode CallerInput::receive(Yield yield)
 {
-    ErrorCode error;
     stream_.expires_never();
-    const std::size_t bytes
-        = stream_.async_read_some(buffer_.prepare(firstReadBytes), yield[error]);
-    buffer_.commit(bytes);
-    return error;
+    return receiveUntil(TimePoint::max(), yield);
 }
 
 ErrorCode CallerInput::receiveNow()
--- a/test/correctness/KeptConnections.cpp
+++ b/test/correctness/KeptConnections.cpp
@@ -11,6 +11,7 @@
 constexpr Milliseconds shortTimeout { 50 };
 constexpr Seconds testTimeout { 20 };
 const std::string booking = "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+const std::string deletion = "DELETE /d HTTP/1.1\r\nHost: h\r\n\r\n";
 const std::string lookup = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
 HttpResponse okResponse(const std::string &body)
@@ -36,6 +37,7 @@
         hooks.limits = [this] {
             CallerLimits limits;
             limits.headerTimeout = headerTimeout;
+            limits.idleTimeout = idleTimeout;
             return limits;
         };
         hooks.handlerFailed = [](const char *what) { FAIL(what); };
@@ -45,6 +47,9 @@
             [this](CallerConnection &served, Yield inner) {
                 if (served.header().method() == http::verb::post) {
                     serveAlone(served, inner);
+                } else if (served.header().method() == http::verb::delete_) {
+                    served.watchDisconnect([] {});
+                    (void)served.writeResponse(okResponse("deleted"), inner);
                 } else {
                     channels.push_back(served.readAhead());
                 }
@@ -93,6 +98,7 @@
     std::shared_ptr<CallerConnection> connection;
     std::vector<ResponseChannel> channels;
     Milliseconds headerTimeout { 10'000 };
+    Milliseconds idleTimeout { 10'000 };
     std::size_t dropped = 0;
     bool bookingRuns = false;
     bool closed = false;
@@ -230,6 +236,27 @@
     });
 }
 
+// Guards against a request that is served on a connection that its idle timeout has closed.
+TEST(KeptConnections, aRequestThatCameWhileTheProcessStoodStillIsAnsweredAtTheIdleTimeout)
+{
+    served.idleTimeout = shortTimeout;
+    served.run([&](TcpSocket &caller, Yield yield) {
+        send(caller, deletion, yield);
+        std::string received;
+        ErrorCode error;
+        asio::async_read_until(caller, asio::dynamic_buffer(received), "deleted", yield[error]);
+        pauseFor(served.loop, shortTimeout / 5, yield);
+        asio::write(caller, asio::buffer(lookup), error);
+        standStill(2 * shortTimeout);
+        CHECK(becomes(
+            served, [&] { return served.channels.size() == 1; }, yield));
+        served.answer(0, "first");
+        asio::async_read_until(caller, asio::dynamic_buffer(received), "first", yield[error]);
+        checkContains(received, "first");
+        LONGS_EQUAL(0, served.dropped);
+    });
+}
+
 // Guards against work that goes on for a caller that left while a request waited for its turn.
 TEST(KeptConnections, aCallerThatLeavesWhileARequestWaitsIsNoticed)
 {
