--- a/test/soak/stop_hunt.py
+++ b/test/soak/stop_hunt.py
@@ -8,21 +8,16 @@
 at a target must have a response, and so must one that was sent well before its connection ended.
 """
 
-import argparse
-import os
 import random
 import signal
 import sys
 import threading
 import time
 
-HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path[:0] = [os.path.join(HERE, "..", "processes"), os.path.join(HERE, "..", "..", "scripts")]
-
-from platform_fleet import HOST, PlatformFleet, document  # noqa: E402
-from soak import Findings, NOT_RUN_STATUSES  # noqa: E402
-from support import wait_until  # noqa: E402
-from test_pipelining import PipelinedCaller  # noqa: E402
+from hunt_parts import BaseHunt, HuntFleet, run_hunt
+from soak import NOT_RUN_STATUSES
+from support import wait_until
+from test_pipelining import PipelinedCaller
 
 ENTRIES = 3
 CALLERS = 12
@@ -32,36 +27,9 @@
 SENT_WITHIN_S = 3.0
 LOSS_SLACK_S = 0.2  # a request sent later than this before the end may not have been read
 MAX_AHEAD = 4
-LOADED_AFTER_S = 0.5  # before main() runs, SIGHUP ends any program
 PORT_OFFSET = 2300  # keeps the ports apart from those of the process tests
-PORTS_PER_FLEET = 20
-ROUTES = (("/lookup/", "safe", "catalogue"), ("/book/", "unsafe", "orders"),
-          ("/send/", "upload", "orders"), ("/long/", "unsafe", "catalogue"))
-BEHAVIOURS = ({"truncateShare": 0.3}, {"failShare": 0.5}, {"slowdown": 8}, {"retryAfter": "1"},
-              {"queue": 0}, {"saysLeaving": 1})
-NORMAL = {"truncateShare": 0, "failShare": 0, "slowdown": 1, "retryAfter": "none", "queue": 4,
-          "saysLeaving": 0}
-
-
-class HuntFleet(PlatformFleet):
-    """Has ports and loopback addresses of its own, beside those of other fleets."""
-
-    def __init__(self, number):
-        self.number = number
-        super().__init__(base=PORT_OFFSET + PORTS_PER_FLEET * number, entries=ENTRIES)
-
-    def loopback_address(self, name):
-        network = 71 + 2 * self.number + (0 if name.startswith("control") else 1)
-        return f"127.0.{network}.{10 + int(name.split('-')[1])}"
-
-
-def changed_document(version):
-    """The usual routes and a long one; some timeouts change with the version."""
-    value = document(version, ROUTES)
-    rules = value["Listeners"][0]["Rules"]
-    rules[0]["Action"]["Timeout"] = f"{2000 + 100 * (version % 10)}ms"
-    rules[3]["Action"]["Timeout"] = "20000ms"
-    return value
+NETWORK = 71  # of the first fleet's loopback addresses
+FLEETS = 10
 
 
 class Sent:
@@ -142,41 +110,18 @@
                                        f"without a response after {now - sent.at:.2f} s: {error}")
 
 
-class Hunt:
-    """A fleet, its callers, and stops, signals, changes and faults of targets drawn from a seed."""
+class Hunt(BaseHunt):
+    """Stops, signals, changes and faults of targets drawn from a seed."""
 
     def __init__(self, seed, fleet_number):
-        self.random = random.Random(seed)
-        self.fleet = HuntFleet(fleet_number)
-        self.findings = Findings()
-        self.stop_event = threading.Event()
+        super().__init__(seed, HuntFleet(fleet_number, PORT_OFFSET, NETWORK, ENTRIES))
         self.signalled_at = [float("-inf")] * ENTRIES
-        self.started_at = [time.monotonic()] * ENTRIES
-        self.version = 1
 
-    def run(self, seconds):
-        self.fleet.start()
-        self.change_document()
-        wait_until(lambda: self.fleet.request(0, "/send/x", "POST")[0] == 200, 10, "the routes")
-        callers = [Caller(self, i, self.random.random()) for i in range(CALLERS)]
-        end = time.monotonic() + seconds
-        steps = [threading.Thread(target=self.repeat, args=(step, end)) for step in
-                 (self.stop_an_entry, self.hang_up, self.change_document, self.spoil_a_target)]
-        for step in steps:
-            step.start()
-        for step in steps:
-            step.join()
-        self.stop_event.set()
-        for caller in callers:
-            caller.join(30)
-        self.check_runs([result for caller in callers for result in caller.results])
-        return self.findings.lines
+    def start_callers(self):
+        return [Caller(self, i, self.random.random()) for i in range(CALLERS)]
 
-    def repeat(self, step, end):
-        chooser = random.Random(self.random.random())
-        while time.monotonic() < end:
-            time.sleep(chooser.uniform(0.1, 1.0))
-            step(chooser)
+    def steps(self):
+        return (self.stop_an_entry, self.hang_up, self.change_document, self.spoil_a_target)
 
     def stop_an_entry(self, chooser):
         i = chooser.randrange(ENTRIES)
@@ -211,22 +156,6 @@
         except OSError:
             return False
 
-    def hang_up(self, chooser):
-        i = chooser.randrange(ENTRIES)
-        process = self.fleet.processes[f"entry-{i}"]
-        if time.monotonic() > self.started_at[i] + LOADED_AFTER_S and process.popen.poll() is None:
-            process.signal(signal.SIGHUP)
-
-    def change_document(self, _=None):
-        self.version += 1
-        self.fleet.put_document(changed_document(self.version))
-
-    def spoil_a_target(self, chooser):
-        target = chooser.choice(("catalogue-0", "catalogue-1", "orders-0"))
-        self.fleet.change_behaviour(target, **chooser.choice(BEHAVIOURS))
-        time.sleep(chooser.uniform(0.5, 2.0))
-        self.fleet.change_behaviour(target, **NORMAL)
-
     def check_runs(self, results):
         runs = self.fleet.standin_report()["runs"]
         for request_id, status in results:
@@ -239,33 +168,5 @@
               f"{sum(s == 200 for _, s in results)} served, {self.version} versions")
 
 
-def run_seed(seed, seconds, fleet_number):
-    """Runs one seed and prints its findings; returns whether there were none."""
-    hunt = Hunt(seed, fleet_number)
-    try:
-        findings = hunt.run(seconds)
-    finally:
-        hunt.stop_event.set()
-        hunt.fleet.stop()
-    print(f"seed {seed}: {len(findings)} findings", flush=True)
-    for line in findings[:20]:
-        print(f"  seed {seed}: {line}", flush=True)
-    return not findings
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seeds", type=int, default=1,
-                        help="number of consecutive seeds, beginning with --seed")
-    parser.add_argument("--seconds", type=float, default=12)
-    parser.add_argument("--fleet", type=int, default=0,
-                        help="0 to 9: another number for each hunt that runs at the same time")
-    options = parser.parse_args()
-    seeds = range(options.seed, options.seed + options.seeds)
-    good = [run_seed(seed, options.seconds, options.fleet) for seed in seeds]
-    return 0 if all(good) else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_hunt(Hunt, __doc__, FLEETS))
