--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -90,7 +90,12 @@
 private:
     bool mayReadNext();
     bool keepsAlive();
+    bool isContinueDue() const;
     ErrorCode sendContinueIfExpected(Yield yield);
+    std::uint64_t bodyBytesLeft() const;
+    bool mayDiscardBody() const;
+    void discardShortBody(Yield yield);
+    std::size_t discardBuffered(ErrorCode &error);
     void watch();
     void rejectUnread(HttpResponse response, Yield yield);
     void rejectBadHeader(ErrorCode error, Yield yield);
@@ -133,6 +138,7 @@
     bool reusable_ = false; ///< the last response was sent whole and keeps the connection
     bool closing_ = false;
     bool continueSent_ = false;
+    bool isBodyLate_ = false; ///< it was not read whole before its deadline
 };
 
 } // namespace kumquat
