--- a/test/processes/test_wrong_responses.py
+++ b/test/processes/test_wrong_responses.py
@@ -137,6 +137,9 @@
         changed["Clusters"].append(dict(changed["Clusters"][0], Name=SERVICE))
         self.fleet.put_document(changed)
         wait_until(lambda: '"target":"wrong"' in self.log(), 10, "the target to be known")
+        wait_until(lambda: self.fleet.metric(self.fleet.ready_addresses[0],
+                                             "kumquat_configuration_number") == 2, 10,
+                   "the document to be in force")
 
     def log(self):
         with open(self.fleet.processes["entry-0"].log_path) as file:
