Tests: fleets of documents and of kept connections keep to ports of their own

The targets of test_documents.py began at port 32760, inside the range that the system gives to outgoing connections; the caller's port of test_kept_connections.py was a member's of test_large_documents.py. Both pass on the new ports.

--- a/test/processes/test_documents.py
+++ b/test/processes/test_documents.py
@@ -129,7 +129,7 @@
 
 class Documents(unittest.TestCase):
     def setUp(self):
-        self.fleet = DocumentFleet(base=3190)
+        self.fleet = DocumentFleet(base=2950)
         self.addCleanup(self.fleet.stop)
         self.fleet.start()
         self.pids = {name: process.pid for name, process in self.fleet.processes.items()}
@@ -261,7 +261,7 @@
 
 class Bounds(unittest.TestCase):
     def test_entries_start_with_a_fractional_retry_budget_and_with_none(self):
-        fleet = BoundsFleet(base=3190)
+        fleet = BoundsFleet(base=2950)
         self.addCleanup(fleet.stop)
         fleet.start()
         for entry in range(2):
--- a/test/processes/test_kept_connections.py
+++ b/test/processes/test_kept_connections.py
@@ -29,7 +29,7 @@
 
 class KeptConnections(unittest.TestCase):
     def setUp(self):
-        self.fleet = KeptFleet(base=2100, entries=1)
+        self.fleet = KeptFleet(base=2160, entries=1)
         self.addCleanup(self.fleet.stop)
         self.fleet.start()
         self.fleet.put_document(document_with_short_header_timeout())
