Callers' connections: a caller that reads late gets what is due before the connection ends

The entry now reads on as long as the caller's side has not confirmed all that was written, for at most the time that a write may take.

Evidence: aCallerThatReadsLateAndStillSendsGetsAllResponses failed before (the response to the second request was cut) and passes.

--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -7,7 +7,8 @@
 
 #include <algorithm>
 #include <array>
-#include <sys/socket.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 namespace kumquat {
 
@@ -113,16 +114,22 @@
     (void)writeResponse(refusal(RefusalReason::internalError, RunOutcome::unknown), yield);
 }
 
-// Closing a socket with unread input sends a reset, which may discard the response before the
-// caller has read it.
+// Closing a socket with unread input sends a reset, as does later input. It may discard responses
+// that the caller has not received yet.
 void CallerConnection::discardInput(Yield yield)
 {
+    const TimePoint end = Clock::now() + writeTimeout;
     ErrorCode error;
-    std::array<char, firstReadBytes> discarded {};
-    stream_.expires_after(lingerTime);
-    while (!error) {
-        stream_.async_read_some(asio::buffer(discarded), yield[error]);
-    }
+    do {
+        error = input_.discardUntil(Clock::now() + lingerTime, yield);
+    } while (error == asio::error::timed_out && hasUnreceived() && Clock::now() < end);
+}
+
+// True when the caller's side has not confirmed all that was written.
+bool CallerConnection::hasUnreceived()
+{
+    int bytes = 0;
+    return ::ioctl(stream_.socket().native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
 // During a planned stop a connection is kept only for requests that have arrived: each of them gets
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -104,6 +104,7 @@
     void failHandler(const char *what, Yield yield);
     void respondFailed(Yield yield);
     void discardInput(Yield yield);
+    bool hasUnreceived();
     bool hasPendingResponses() const { return !responses_.isEmpty() || isSending_; }
     void awaitPending(Yield yield);
     void waitForRoom(Yield yield);
--- a/src/protocol/CallerInput.cpp
+++ b/src/protocol/CallerInput.cpp
@@ -71,6 +71,16 @@
     return error == asio::error::would_block ? waited : error;
 }
 
+ErrorCode CallerInput::discardUntil(TimePoint until, Yield yield)
+{
+    ErrorCode error;
+    while (!error) {
+        buffer_.consume(buffer_.size());
+        error = Clock::now() < until ? receiveUntil(until, yield) : asio::error::timed_out;
+    }
+    return error;
+}
+
 // The stream's own timer would close the connection and cut the responses that are due on it.
 ErrorCode CallerInput::awaitInput(TimePoint until, Yield yield)
 {
--- a/src/protocol/CallerInput.h
+++ b/src/protocol/CallerInput.h
@@ -36,6 +36,10 @@
     /// Receives something; fails with asio::error::timed_out when nothing has come by \p until.
     ErrorCode receiveUntil(TimePoint until, Yield yield);
 
+    /// Drops what is received; returns asio::error::timed_out at \p until, or why nothing more
+    /// comes.
+    ErrorCode discardUntil(TimePoint until, Yield yield);
+
     /// Passes what was received on to \p parser; fails with http::error::need_more when it is not
     /// enough for a step.
     ErrorCode parse(Parser &parser);
--- a/test/correctness/KeptConnections.cpp
+++ b/test/correctness/KeptConnections.cpp
@@ -344,3 +344,24 @@
         });
     }
 }
+
+// Guards against responses that a caller has not received yet and that a reset drops, since it
+// still sends when its connection is closed.
+TEST(KeptConnections, aCallerThatReadsLateAndStillSendsGetsAllResponses)
+{
+    constexpr std::size_t longBytes = 300 * 1024;
+    constexpr Milliseconds longerThanLingering { 1'300 };
+    served.run([&](TcpSocket &caller, Yield yield) {
+        caller.set_option(asio::socket_base::receive_buffer_size(16 * 1024));
+        send(caller, lookup + "no request at all\r\n\r\n", yield);
+        CHECK(becomes(
+            served, [&] { return served.channels.size() == 1; }, yield));
+        served.answer(0, std::string(longBytes, 'x') + "end");
+        pauseFor(served.loop, longerThanLingering, yield);
+        send(caller, lookup, yield);
+        pauseFor(served.loop, Milliseconds(10), yield);
+        const std::string received = readAll(caller, yield);
+        checkContains(received, "end");
+        checkContains(received, "HTTP/1.1 400");
+    });
+}
