Parsers: a header or trailer field that is too long ends no process

Cause: Beast's parsers throw std::length_error at a value above 65,533 bytes, out of the event loop where no handler catches it, and buffers of up to 96 KiB or without a limit let them see such values. Class: what a stranger sends makes something throw outside the one place that catches.

What a parser is given is now bounded by 65,535 bytes, so that no field in it is too long; the read fails as for any header without end. The caller's parser may be given more, since the document sets its limit; it answers 431.

--- a/src/protocol/CallerInput.cpp
+++ b/src/protocol/CallerInput.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <stdexcept>
 #include <sys/socket.h>
 
 namespace kumquat {
@@ -106,7 +107,11 @@
         return http::error::need_more;
     }
     ErrorCode error;
-    buffer_.consume(parser.put(buffer_.data(), error));
+    try {
+        buffer_.consume(parser.put(buffer_.data(), error));
+    } catch (const std::length_error &) {
+        error = http::error::header_limit; // A field may be shorter than the header may be.
+    }
     return error;
 }
 
--- a/src/protocol/TargetConnection.cpp
+++ b/src/protocol/TargetConnection.cpp
@@ -1,5 +1,7 @@
 #include "protocol/TargetConnection.h"
 
+#include "transport/ParserLimits.h"
+
 #include <algorithm>
 #include <array>
 #include <netinet/tcp.h>
@@ -34,7 +36,7 @@
 } // namespace
 
 TargetConnection::TargetConnection(asio::io_context &context, Address address)
-    : address_(std::move(address)), stream_(context), buffer_(maxHeaderBytes + bodyPartBytes)
+    : address_(std::move(address)), stream_(context), buffer_(maxParsedBytes)
 {
 }
 
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -5,6 +5,7 @@
 
 #include "transport/Authenticator.h"
 #include "transport/HttpServer.h"
+#include "transport/ParserLimits.h"
 
 #include <absl/status/statusor.h>
 #include <map>
@@ -30,7 +31,7 @@
     {
         explicit Connection(asio::io_context &context) : stream(context) { }
         TcpStream stream;
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer { maxParsedBytes };
         TimePoint idleSince {};
     };
 
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "kumquat/Error.h"
 #include "kumquat/Event.h"
+#include "transport/ParserLimits.h"
 #include "transport/RequestFraming.h"
 #include "transport/Spawn.h"
 
@@ -12,8 +13,6 @@
 namespace {
 
 constexpr std::size_t maxHeaderBytes = 16 * 1024;
-/// Input that is read ahead of the parser; chunk extensions and trailers must fit into it.
-constexpr std::size_t readAheadBytes = 64 * 1024;
 /// Peers reuse connections that have been idle for much less.
 constexpr std::chrono::seconds idleTimeout { 60 };
 constexpr std::chrono::seconds requestReadTimeout { 30 };
@@ -110,7 +109,7 @@
 void HttpServer::serveConnection(const std::shared_ptr<TcpStream> &stream, Yield yield)
 {
     ++connections_;
-    beast::flat_buffer buffer(maxHeaderBytes + readAheadBytes);
+    beast::flat_buffer buffer(maxParsedBytes);
     while (!stopping_ && serveRequest(stream, buffer, yield)) { }
     ErrorCode ignored;
     stream->socket().shutdown(TcpSocket::shutdown_send, ignored);
