Callers' connections: a handler that throws cuts no response to another request

A request that failed inside behind a pending one was answered with a reset instead of 500, which also cut what its caller had not received of the response before it: that response counted as the start of its own.

Only a request's own response counts now.

Evidence: aHandlerThatThrowsBehindAResponseCutsNothing failed before (no 500) and passes.

--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -369,6 +369,7 @@
     const bool keep = keepsAlive();
     response.keep_alive(keep);
     const bool isHeadRequest = parser_->is_header_done() && header().method() == http::verb::head;
+    responseStarted_ = true;
     const ErrorCode error = writeMessage(response, isHeadRequest, yield);
     if (error) {
         hooks_.responsesDropped(DropCause::writeFailed, 1);
@@ -381,7 +382,6 @@
 ErrorCode CallerConnection::writeMessage(HttpResponse &response, bool isHeadRequest, Yield yield)
 {
     ErrorCode error;
-    responseStarted_ = true;
     response.version(11);
     if (isHeadRequest) {
         response.content_length(response.body().size());
--- a/test/correctness/KeptConnections.cpp
+++ b/test/correctness/KeptConnections.cpp
@@ -41,13 +41,16 @@
             limits.idleTimeout = idleTimeout;
             return limits;
         };
-        hooks.handlerFailed = [](const char *what) { FAIL(what); };
+        hooks.handlerFailed = [this](const char *) { ++failures; };
         hooks.responsesDropped = [this](DropCause, std::size_t count) { dropped += count; };
         connection = std::make_shared<CallerConnection>(loop, std::move(socket));
         connection->serve(
             [this](CallerConnection &served, Yield inner) {
                 if (served.header().target() == "/refused") {
                     refuse(served, inner);
+                } else if (served.header().target() == "/throws") {
+                    (void)served.awaitResponses(inner);
+                    throw std::runtime_error("the handler fails");
                 } else if (served.header().method() == http::verb::post) {
                     serveAlone(served, inner);
                 } else if (served.header().method() == http::verb::delete_) {
@@ -95,6 +98,7 @@
             loop.stop();
         });
         loop.run_for(testTimeout);
+        LONGS_EQUAL(expectedFailures, failures);
     }
 
     void answer(std::size_t request, const std::string &body)
@@ -111,6 +115,8 @@
     Milliseconds headerTimeout { 10'000 };
     Milliseconds idleTimeout { 10'000 };
     std::size_t dropped = 0;
+    int expectedFailures = 0;
+    int failures = 0; ///< exceptions of the handler
     bool bookingRuns = false;
     bool closed = false;
 };
@@ -365,3 +371,20 @@
         checkContains(received, "HTTP/1.1 400");
     });
 }
+
+// Guards against a handler's exception that cuts the response to the request before it.
+TEST(KeptConnections, aHandlerThatThrowsBehindAResponseCutsNothing)
+{
+    served.expectedFailures = 1;
+    served.run([&](TcpSocket &caller, Yield yield) {
+        send(caller, lookup + "POST /throws HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+             yield);
+        CHECK(becomes(
+            served, [&] { return served.channels.size() == 1; }, yield));
+        served.answer(0, "first");
+        const std::string received = readAll(caller, yield);
+        checkContains(received, "first");
+        checkContains(received, "HTTP/1.1 500");
+        LONGS_EQUAL(0, served.dropped);
+    });
+}
