--- a/src/protocol/CallerPipeline.cpp
+++ b/src/protocol/CallerPipeline.cpp
@@ -36,7 +36,10 @@
 void CallerConnection::failPending(const PendingResponsePtr &pending, Yield yield)
 {
     pending->onDisconnect = nullptr;
-    if (pending->isReady || pending->isEnded) {
+    if (pending->isEnded) {
+        return;
+    }
+    if (pending->isReady) {
         endPipeline(DropCause::handlerFailed);
         responses_.remove(pending);
         return;
