Callers' connections: a body that fails cuts no response to a request before it

An error of reading a body reset the connection, which drops what waits in the socket. Found by review (class: an error of reading that ends a connection on which responses are due).

No response to the request with the bad body has begun, so nothing has to be reset: malformed bodies get 400, and a connection that ends in a body is closed after the responses before it. The interim response 100 has a time limit of its own again, which the own timers of reading had taken away.

Evidence: test_a_malformed_body_cuts_no_response_before_it failed before (connection reset) and passes; 208 unit tests and the 4 of test_kept_connections pass.

--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -27,6 +27,13 @@
     return XXH64(body.data(), body.size(), seed);
 }
 
+// No response to a request whose body fails has begun, so its connection need not be reset: that
+// would cut the responses before it.
+bool isMalformed(ErrorCode error)
+{
+    return error.category() == ErrorCode(http::error::bad_method).category();
+}
+
 std::string pathOf(const http::request_header<> &header)
 {
     const std::string target(header.target());
@@ -372,9 +379,12 @@
         refuseHostRoute(request, RefusalReason::requestTimeout, yield);
         return false;
     }
+    if (isMalformed(error)) {
+        refuseHostRoute(request, RefusalReason::malformedRequest, yield);
+        return false;
+    }
     if (error) {
         ++request.service->runtime->counters.callerDisconnects;
-        request.caller.abort();
         return false;
     }
     setBody(request, std::move(message), held);
@@ -408,9 +418,12 @@
         refuse(call, RefusalReason::requestTimeout, RunOutcome::notRun, yield);
         return false;
     }
+    if (isMalformed(error)) {
+        refuse(call, RefusalReason::malformedRequest, RunOutcome::notRun, yield);
+        return false;
+    }
     if (error) {
         ++call.service->runtime->counters.callerDisconnects;
-        call.caller.abort();
         return false;
     }
     call.request.prepare_payload();
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -179,7 +179,7 @@
     parser_->header_limit(static_cast<std::uint32_t>(headerBytes));
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     continueSent_ = false;
-    isBodyLate_ = false;
+    isBodyLost_ = false;
     ErrorCode error;
     if (input_.size() == 0) {
         error = waitForRequest(limits.idleTimeout, yield);
@@ -243,6 +243,7 @@
     if (isContinueDue()) {
         continueSent_ = true;
         http::response<http::empty_body> response(http::status::continue_, 11);
+        stream_.expires_after(writeTimeout);
         http::async_write(stream_, response, yield[error]);
     }
     return error;
@@ -286,7 +287,8 @@
             error = http::error::body_limit;
         }
     }
-    isBodyLate_ = error == asio::error::timed_out;
+    const bool isRefused = error == http::error::body_limit || error == asio::error::no_memory;
+    isBodyLost_ = error && !isRefused;
     return error;
 }
 
@@ -325,7 +327,7 @@
 bool CallerConnection::mayDiscardBody() const
 {
     const bool isKept = !closing_ && parser_->is_header_done() && parser_->get().keep_alive();
-    return isKept && !isBodyRead() && !isBodyLate_ && !isContinueDue()
+    return isKept && !isBodyRead() && !isBodyLost_ && !isContinueDue()
         && bodyBytesLeft() <= shortBodyBytes;
 }
 
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -33,7 +33,7 @@
 {
 public:
     /// Called for each request after its header was read; must write a response, readAhead() or
-    /// abort(). The caller takes a request that got none of them as not read.
+    /// abort(). After none of them the connection ends once the responses before were sent.
     using Handler = std::function<void(CallerConnection &, Yield)>;
     using Parser = CallerInput::Parser;
 
@@ -139,7 +139,7 @@
     bool reusable_ = false; ///< the last response was sent whole and keeps the connection
     bool closing_ = false;
     bool continueSent_ = false;
-    bool isBodyLate_ = false; ///< it was not read whole before its deadline
+    bool isBodyLost_ = false; ///< the rest of it is late, malformed or will not come
 };
 
 } // namespace kumquat
--- a/test/processes/test_kept_connections.py
+++ b/test/processes/test_kept_connections.py
@@ -1,6 +1,7 @@
 """Process tests of kept connections: whatever goes wrong with reading, what was passed on is answered."""
 
 import signal
+import socket
 import time
 import unittest
 
@@ -10,6 +11,7 @@
 
 SLOW = "/lookup/slow?work=2000000"  # microseconds
 HEADER_TIMEOUT_MS = 1000
+LONG_BYTES = 200_000
 HALF_A_HEADER = f"GET /lookup/x HTTP/1.1\r\nHost: {HOST}\r\n".encode()
 REST_OF_THE_HEADER = b"Kumquatdeal-Request-Id: 00000000deadbeef\r\n\r\n"
 
@@ -88,6 +90,22 @@
         self.assertEqual((status, headers["Connection"]), (408, "close"))
         self.assertEqual(self.runs("00000000deadbeef"), 0)
 
+    # Guards against a request that ran and whose response is cut, since the body of the next one is
+    # malformed.
+    def test_a_malformed_body_cuts_no_response_before_it(self):
+        self.caller.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        first = self.caller.send(f"/lookup/x?size={LONG_BYTES}")
+        self.caller.socket.sendall(
+            f"POST /book/x HTTP/1.1\r\nHost: {HOST}\r\nTransfer-Encoding: chunked\r\n"
+            "Kumquatdeal-Request-Id: 00000000deadbeef\r\n\r\nzz\r\n".encode())
+        wait_until(lambda: self.runs(first) == 1, 10, "the first request to run")
+        time.sleep(0.5)
+        status, headers, body = self.caller.read()
+        self.assertEqual((status, headers["Kumquatdeal-Request-Id"], len(body)),
+                         (200, first, LONG_BYTES))
+        self.assertEqual(self.caller.read()[0], 400)
+        self.assertEqual(self.runs("00000000deadbeef"), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
