Test of resting targets: compares times of one resolution

Cause: the stand-in gives arrivals in whole milliseconds, rounded down, and the test compared them with a time that has fractions. The arrival that was answered with the rest, in the same millisecond as the change, so counted as before it.

Both times are rounded down now. No bound changes; checks that nothing arrives later than a given time begin up to 1 ms earlier than before.

--- a/test/processes/test_leaving_and_resting.py
+++ b/test/processes/test_leaving_and_resting.py
@@ -53,7 +53,8 @@
 
 
 def now_ms():
-    return time.time() * 1000
+    """In whole milliseconds, rounded down like the times of arrivals."""
+    return int(time.time() * 1000)
 
 
 class LeavingAndResting(unittest.TestCase):
