Callers' connections: the end of a caller's input is not its departure

What callers saw: a caller that closed only its writing side got no response to requests that had been passed on and ran; its kept connection was reset.

Cause: watch() and readHeader() took the end of input for a caller that has left, dropped what was due and reset the connection.

Why this works: a caller that has closed for good answers whatever it is sent with a reset, one that has closed only its writing side reads on. So at the end of input the entry sends 100 Continue, which each caller of HTTP/1.1 skips, and takes the reset for the departure; one round trip later than before. Callers of HTTP/1.0 count as left at once, as before. The last response says Connection: close.

--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr unsigned firstVersionWithInterim = 11; // HTTP/1.1
 constexpr std::size_t bodyPartBytes = 64 * 1024;
 constexpr std::size_t firstReadBytes = 4 * 1024;
 constexpr Seconds writeTimeout { 30 };
@@ -137,11 +138,12 @@
     return responses_.size() + (isSending_ ? 1 : 0) + (isHandling_ ? 1 : 0);
 }
 
-// During a planned stop a connection is kept only for requests that have arrived: each of them gets
-// a response.
+// During a planned stop, and when the caller sends nothing more, a connection is kept only for
+// requests that have arrived: each of them gets a response.
 bool CallerConnection::mayReadNext()
 {
-    return !closing_ && (!hooks_.isStopping() || input_.hasArrived());
+    const bool mayCome = !inputEnded_ && !hooks_.isStopping();
+    return !closing_ && (mayCome || input_.hasArrived());
 }
 
 // A connection with an unread body cannot be kept: the body would be parsed as the next request.
@@ -196,6 +198,7 @@
         rejectBadHeader(error, yield);
         return false;
     }
+    readsInterim_ = header().version() >= firstVersionWithInterim;
     return !rejectAmbiguous(yield);
 }
 
@@ -216,6 +219,10 @@
         rejectUnread(refusal(RefusalReason::requestTimeout, RunOutcome::notRun), yield);
         return;
     }
+    if (error == asio::error::eof) {
+        inputEnded_ = true; // Whether the caller has left shows while it waits for its responses.
+        return;
+    }
     if (error.category() != ErrorCode(http::error::bad_method).category()) {
         dropResponses(dropCauseOf(error));
         return;
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -79,7 +79,8 @@
                           std::optional<std::uint64_t> length, Yield yield);
     ErrorCode writeBodyPart(const std::string &part, bool last, Yield yield);
 
-    /// Calls \p onDisconnect once if the caller closes the connection before stopWatching().
+    /// Calls \p onDisconnect once if the caller leaves before stopWatching(). One that closes only
+    /// its writing side has not left.
     void watchDisconnect(OnDisconnect onDisconnect);
     void stopWatching();
 
@@ -101,6 +102,8 @@
     std::size_t discardBuffered(ErrorCode &error);
     void watch();
     void takeWatched(const std::weak_ptr<OnDisconnect> &callback);
+    bool hasLeftAfterInput();
+    void watchReset(const std::weak_ptr<OnDisconnect> &callback);
     void rejectUnread(HttpResponse response, Yield yield);
     void rejectBadHeader(ErrorCode error, Yield yield);
     bool rejectAmbiguous(Yield yield);
@@ -143,6 +146,8 @@
     bool reusable_ = false; ///< the last response was sent whole and keeps the connection
     bool closing_ = false;
     bool isHandling_ = false; ///< the handler of a request has not returned
+    bool inputEnded_ = false; ///< the caller has closed its writing side, or the connection
+    bool readsInterim_ = false; ///< the caller speaks a version that has interim responses
     bool continueSent_ = false;
     bool isBodyLost_ = false; ///< the rest of it is late, malformed or will not come
 };
--- a/test/processes/test_kept_connections.py
+++ b/test/processes/test_kept_connections.py
@@ -78,6 +78,36 @@
             self.check_next(request_id)
         self.assertIn(self.caller.read()[0], (200, 503))
 
+    # Guards against requests that ran and get no response, since the end of their caller's input is
+    # taken for its departure.
+    def test_a_caller_that_closes_its_writing_side_gets_its_responses(self):
+        ids = self.send_slow_lookups()
+        self.caller.socket.shutdown(socket.SHUT_WR)
+        self.check_next(ids[0])
+        self.assertEqual(self.check_next(ids[1])["Connection"], "close")
+        self.assertTrue(self.caller.is_closed())
+
+    def test_a_booking_whose_caller_closes_its_writing_side_is_answered(self):
+        booking = self.caller.send("/book/slow?work=1000000", method="POST", body=b"b")
+        wait_until(lambda: self.runs(booking) == 1, 10, "the booking to run")
+        self.caller.socket.shutdown(socket.SHUT_WR)
+        self.check_next(booking)
+
+    # Guards against work that goes on for a caller that has left, with the line that says so.
+    def test_a_caller_that_closes_its_connection_is_noticed(self):
+        ids = self.send_slow_lookups(1)
+        self.caller.input.close()
+        self.caller.socket.close()
+        entry = self.fleet.processes["entry-0"]
+        wait_until(lambda: self.line_of(entry, 333, ids[0]), 1, "the caller to be missed")
+        self.assertIn('"cause":"caller-closed"', self.line_of(entry, 333, ids[0]))
+
+    @staticmethod
+    def line_of(process, event, request_id):
+        with open(process.log_path) as log:
+            return next((line for line in log if f'"event":{event}' in line
+                         and request_id in line), "")
+
     def test_a_body_that_stalls_costs_no_request_before_it_its_response(self):
         ids = self.send_slow_lookups()
         self.caller.socket.sendall(
--- a/test/soak/connection_hunt.py
+++ b/test/soak/connection_hunt.py
@@ -3,10 +3,9 @@
     python3 test/soak/connection_hunt.py --seed 1 --seeds 30 --seconds 12
 
 Callers keep connections and pipeline, send in pieces, stall, read late, rest around the idle
-timeout and close their writing side. Meanwhile entries stand still and get SIGHUP, targets
+timeout and close their writing side only. Meanwhile entries stand still and get SIGHUP, targets
 misbehave and crash, and the configuration changes. Nothing between callers and entries is disturbed
-and no entry is stopped, so each request that ran at a target must have its own, whole response. A
-caller that has closed its writing side counts as one that left: how often that happens is printed.
+and no entry is stopped, so each request that ran at a target must have its own, whole response.
 """
 
 import http.client
@@ -107,8 +106,6 @@
 
     def finish(self, connection, batch, end):
         if end == "half-close":
-            for sent in batch:
-                sent.is_half_closed = True
             connection.socket.shutdown(socket.SHUT_WR)
         elif end == "malformed":
             batch.append(Sent("", "", "GET", None))
@@ -176,10 +173,8 @@
 
     def check_runs(self, results):
         runs = self.fleet.standin_report()["runs"]
-        half_closed = 0
         for sent in results:
             ran = runs.get(sent.request_id, 0)
-            half_closed += sent.is_half_closed and sent.status == 0 and ran > 0
             fault = self.fault_of(sent, ran)
             if fault:
                 self.findings.add(f"{sent.request_id} {sent.method} {sent.path} "
@@ -188,7 +183,7 @@
         served = sum(sent.status == 200 for sent in results)
         unanswered = sum(sent.status == 0 for sent in results)
         print(f"  {len(results)} requests, {served} served, {unanswered} without a response, "
-              f"{half_closed} of them ran for a half-closed caller, {self.version} versions")
+              f"{self.version} versions")
 
     def fault_of(self, sent, ran):
         if sent.fault:
@@ -197,9 +192,9 @@
             return f"ran although its status was {sent.status}"
         if ran > 1 and not sent.is_safe():
             return f"ran {ran} times"
-        if sent.status == 0 and ran > 0 and not sent.is_half_closed:
+        if sent.status == 0 and ran > 0:
             return f"ran and got no response: {sent.error}"
-        if sent.waited_s > CROSSED_S and not sent.is_half_closed:
+        if sent.waited_s > CROSSED_S:
             return f"no response after {sent.waited_s:.2f} s: {sent.error}"
         return ""
 
--- a/test/soak/hunt_requests.py
+++ b/test/soak/hunt_requests.py
@@ -26,7 +26,6 @@
         self.error = ""  # instead of a response
         self.ended = ""  # the time of that error
         self.waited_s = 0.0  # for that error
-        self.is_half_closed = False
 
     def is_safe(self):
         return self.path.startswith("/lookup/")
