--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -1,6 +1,7 @@
 #include "coordination/entry/HostRouteCall.h"
 
 #include "coordination/entry/HostRouteExchange.h"
+#include "coordination/entry/HostRouteOutcome.h"
 #include "coordination/entry/HostRoutePlacement.h"
 #include "kumquat/Event.h"
 #include "protocol/Headers.h"
@@ -80,7 +81,6 @@
     bool startNextAttempt(Yield yield);
     bool anyRunning() const;
     std::shared_ptr<TrackedAttempt> takeEndedAttempt();
-    void recordOutcome(const Target &target, const ExchangeResult &result, Clock::duration elapsed);
     bool mayRetry(ExchangeOutcome outcome);
     bool handleResult(TrackedAttempt &ended, Yield yield);
 
@@ -215,47 +215,6 @@
     return nullptr;
 }
 
-void HostRouteCall::recordOutcome(const Target &target, const ExchangeResult &result,
-                                  Clock::duration elapsed)
-{
-    const TimePoint now = Clock::now();
-    TargetStats &stats = *target.stats;
-    const auto report = request_.dialect.loadReport(result.response);
-    if (report) {
-        // The target may have counted this request, which has just ended, as in flight.
-        stats.recordLoadReport(*report, 1, now);
-    }
-    switch (result.outcome) {
-    case ExchangeOutcome::completed: {
-        const bool failed = result.response.result_int() >= firstServerError;
-        stats.recordResponse(elapsed, failed, now);
-        request_.worker.hooks.clearRequest(request_.fingerprint);
-        if (!failed) {
-            runtime_.recordServiceTime(elapsed);
-        }
-        break;
-    }
-    case ExchangeOutcome::notRun:
-        ++runtime_.counters.sheds;
-        stats.recordShed(now);
-        break;
-    case ExchangeOutcome::failed:
-        stats.recordFailure(now);
-        if (result.reset && target.record.state == TargetState::ready) {
-            request_.worker.hooks.suspectRequest(request_.fingerprint, target.record.name);
-        }
-        break;
-    case ExchangeOutcome::notSent:
-        if (!stats.rest().isResting(now)) {
-            stats.recordFailure(now);
-            stats.markUnresponsive(now);
-        }
-        break;
-    case ExchangeOutcome::timedOut:
-        break;
-    }
-}
-
 // A request that did not run may always go to another target. One that may have run is retried
 // only if it is idempotent and the route allows more attempts. Every retry spends the retry
 // budget, unless the failed attempt never left this entry.
@@ -280,7 +239,7 @@
 {
     const Target &target = *ended.request.target;
     ExchangeResult &result = ended.result;
-    recordOutcome(target, result, Clock::now() - ended.startTime);
+    recordOutcome(request_, target, result, Clock::now() - ended.startTime);
     if (result.outcome == ExchangeOutcome::completed) {
         request_.route->runtime->baselineServiceTime.record(Clock::now() - ended.startTime,
                                                             ended.slowdown);
--- /dev/null
+++ b/src/coordination/entry/HostRouteOutcome.cpp
@@ -0,0 +1,53 @@
+#include "coordination/entry/HostRouteOutcome.h"
+
+namespace kumquat {
+
+namespace {
+
+constexpr unsigned firstServerError = 500;
+
+} // namespace
+
+void recordOutcome(const HostRouteRequest &request, const Target &target,
+                   const ExchangeResult &result, Clock::duration elapsed)
+{
+    const TimePoint now = Clock::now();
+    ServiceRuntime &runtime = *request.service->runtime;
+    TargetStats &stats = *target.stats;
+    const auto report = request.dialect.loadReport(result.response);
+    if (report) {
+        // The target may have counted this request, which has just ended, as in flight.
+        stats.recordLoadReport(*report, 1, now);
+    }
+    switch (result.outcome) {
+    case ExchangeOutcome::completed: {
+        const bool failed = result.response.result_int() >= firstServerError;
+        stats.recordResponse(elapsed, failed, now);
+        request.worker.hooks.clearRequest(request.fingerprint);
+        if (!failed) {
+            runtime.recordServiceTime(elapsed);
+        }
+        break;
+    }
+    case ExchangeOutcome::notRun:
+        ++runtime.counters.sheds;
+        stats.recordShed(now);
+        break;
+    case ExchangeOutcome::failed:
+        stats.recordFailure(now);
+        if (result.reset && target.record.state == TargetState::ready) {
+            request.worker.hooks.suspectRequest(request.fingerprint, target.record.name);
+        }
+        break;
+    case ExchangeOutcome::notSent:
+        if (!stats.rest().isResting(now)) {
+            stats.recordFailure(now);
+            stats.markUnresponsive(now);
+        }
+        break;
+    case ExchangeOutcome::timedOut:
+        break;
+    }
+}
+
+} // namespace kumquat
