Tests: a set-up names the process that has ended, and does not wait for it

What was seen: test_planned_stop and test_entry_and_target_failures failed once each with nothing but "timed out waiting for the stop to begin" and "... for all entries to know all targets".

Cause: an entry that cannot listen ends with code 1 and one line in its log, and nobody looked. The set-up went on for its 20 s, or ended well because a process of another fleet answered at the same address; the signal to an ended process that nobody has waited for succeeds, and then nothing stops.

Why this works: waits of a set-up take the processes that they need and end with them, with the last line of the log, also where the check succeeds. No bound is changed. A planned stop is first checked to have a process to stop.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -33,19 +33,38 @@
 }
 
 
-def wait_until(check, seconds, what):
-    """Polls check() until it is true; raises RuntimeError naming `what` after `seconds`."""
+def wait_until(check, seconds, what, running=()):
+    """Polls check() until it is true; raises RuntimeError naming `what` after `seconds`.
+
+    Raises at once if one of the processes in `running` has ended.
+    """
     end = time.monotonic() + seconds
     while time.monotonic() < end:
-        try:
-            if check():
-                return
-        except (OSError, ValueError, KeyError, RuntimeError, subprocess.SubprocessError):
-            pass
+        done = succeeds(check)
+        # Also after a success, which may be the answer of another process at the same address.
+        check_running(running)
+        if done:
+            return
         time.sleep(0.05)
     raise RuntimeError("timed out waiting for " + what)
 
 
+def succeeds(check):
+    """Whether check() is true; an error that a fleet causes while it starts counts as false."""
+    try:
+        return check()
+    except (OSError, ValueError, KeyError, RuntimeError, subprocess.SubprocessError):
+        return False
+
+
+def check_running(processes):
+    """Raises RuntimeError if one of the processes has ended, with the last line of its output."""
+    for process in processes:
+        code = process.popen.poll()
+        if code is not None:
+            raise RuntimeError(f"{process.name} ended with code {code}: {process.last_line()}")
+
+
 class TcpRelay(threading.Thread):
     """Forwards TCP connections. While `silent` is set, it reads data and drops it."""
 
@@ -106,6 +125,11 @@
     def signal(self, number):
         os.kill(self.pid, number)
 
+    def last_line(self):
+        with open(self.log_path, errors="replace") as log:
+            lines = log.read().splitlines()
+        return lines[-1] if lines else "no output"
+
     def stop(self, seconds=20):
         """Terminates the process, kills it after `seconds` and returns its exit code."""
         if self.popen.poll() is None:
@@ -250,24 +274,28 @@
 
     def start(self):
         self.control_processes = [self.start_control(i) for i in range(self.control_count)]
-        wait_until(lambda: self.dump(self.control_address(0)), 10, "the first control member")
+        wait_until(lambda: self.dump(self.control_address(0)), 10, "the first control member",
+                   self.control_processes)
         self.ctl("form", control=self.control_address(0))
-        wait_until(self.all_members_are_voters, 15, "all control members to be voters")
+        wait_until(self.all_members_are_voters, 15, "all control members to be voters",
+                   self.control_processes)
         self.ctl("apply", self.configuration)
         self.entry_processes = [self.start_entry(i) for i in range(self.entry_count)]
         self.standin_process = self.start_standin()
-        wait_until(self.entries_ready, 20, "all entries to know all targets")
+        wait_until(self.entries_ready, 20, "all entries to know all targets", self.processes())
         return self
 
+    def processes(self):
+        standin = [self.standin_process] if self.standin_process else []
+        return self.entry_processes + standin + self.control_processes
+
     def stop(self):
         """Terminates all processes; returns their exit codes by name."""
-        processes = (self.entry_processes + ([self.standin_process] if self.standin_process else [])
-                     + self.control_processes)
-        for process in processes:
+        for process in self.processes():
             if process.popen.poll() is None:
                 process.popen.send_signal(signal.SIGCONT)
                 process.popen.terminate()
-        return {process.name: process.stop() for process in processes}
+        return {process.name: process.stop() for process in self.processes()}
 
     def __enter__(self):
         try:
--- a/test/processes/platform_fleet.py
+++ b/test/processes/platform_fleet.py
@@ -117,7 +117,7 @@
             "--first_port", str(20000 + 4 * self.base), "--work_ms", "10", "--lease_ms", "1500"],
             self.folder)
         self.put_document(document(1))
-        wait_until(self.all_entries_serve, 20, "all entries to serve")
+        wait_until(self.all_entries_serve, 20, "all entries to serve", self.processes.values())
 
     def stop(self):
         for process in self.processes.values():
--- a/test/processes/support.py
+++ b/test/processes/support.py
@@ -7,7 +7,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..",
                                 "scripts"))
 
-from fleet import Fleet, PROFILES, finish_load, wait_until  # noqa: E402,F401
+from fleet import Fleet, PROFILES, check_running, finish_load, wait_until  # noqa: E402,F401
 
 MIX = PROFILES["clearline"]["mix"]
 BOOKINGS = "orders:booking:1:10"
--- a/test/processes/test_planned_stop.py
+++ b/test/processes/test_planned_stop.py
@@ -5,7 +5,7 @@
 import unittest
 
 from platform_fleet import HOST, PlatformFleet, document
-from support import wait_until
+from support import check_running, wait_until
 from test_pipelining import PipelinedCaller
 
 BOOK = "/book/x"
@@ -52,6 +52,7 @@
         return self.fleet.standin_report()["runs"].get(request_id, 0)
 
     def stop_entry(self):
+        check_running([self.entry])
         self.entry.signal(signal.SIGTERM)
         wait_until(lambda: '"event":101' in self.log(), 10, "the stop to begin")
 
