Tests: fleets on one machine wait for each other's addresses

What was seen: "timed out waiting for all entries to know all targets" (test_entry_and_target_failures, one set-up of 14) and "timed out waiting for the stop to begin" (test_planned_stop), each once, on a machine on which several checkouts ran tests.

Cause: each test file has fixed addresses, and nothing kept two fleets from using them at once: two checkouts running the same file, or two files of which one's members listen where the other's entries do. What then cannot listen ends, and the other fleet answers in its place. A caller's address even has SO_REUSEPORT, so a set-up is served by a foreign entry while its own has ended; the stop that is then sent to the ended entry never begins. The product is not at fault: no entry missed a list.

That the two failures seen were these is inferred: no log of either exists.

Why this works: a fleet claims all its addresses before it starts and gives them back when its processes have ended. A claim is a Unix socket with an abstract name per address: it lasts no longer than its process, leaves no file, and belongs to the network namespace, as addresses do. All fleets claim in the same order, so that none wait for each other. Fleets that share nothing run beside each other as before. Runs of the same file in two checkouts now follow one another.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -15,6 +15,8 @@
 import time
 import urllib.request
 
+from address_claim import AddressClaim
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 PROFILES = {
@@ -183,8 +185,9 @@
         self.entry_processes = []
         self.standin_process = None
         self.key_file = os.path.join(self.folder, "cluster.key")
+        self.claim = AddressClaim(self.addresses(relay))
         # With relays, all traffic to a control member passes through a relay that can drop it.
-        self.relays = [TcpRelay(7101 + base + i, 7151 + base + i)
+        self.relays = [TcpRelay(7101 + base + i, self.relayed_port(i))
                        for i in range(controls)] if relay else []
         with open(self.key_file, "w") as file:
             file.write("local-fleet-" + os.urandom(16).hex() + "\n")
@@ -194,6 +197,10 @@
     def control_address(self, i):
         return f"127.0.0.1:{7101 + self.base + i}"
 
+    def relayed_port(self, i):
+        """Where a control member listens that has a relay at its address."""
+        return 7151 + self.base + i
+
     def caller_address(self, i):
         return f"127.0.0.1:{8001 + self.base + i}"
 
@@ -207,6 +214,22 @@
     def admin_address(self):
         return f"127.0.0.1:{9901 + self.base}"
 
+    @property
+    def first_target_port(self):
+        return 20000 + 4 * self.base
+
+    def addresses(self, relay):
+        """All addresses that the fleet's processes and relays listen on."""
+        members = range(self.control_count)
+        addresses = [self.control_address(i) for i in members] + [self.admin_address]
+        for i in range(self.entry_count):
+            addresses += [self.caller_address(i), self.internal_address(i), self.gossip_address(i)]
+        targets = sum(count for _, count, _ in self.services)
+        ports = list(range(self.first_target_port, self.first_target_port + targets))
+        if relay:
+            ports += [self.relayed_port(i) for i in members]
+        return addresses + [f"127.0.0.1:{port}" for port in ports]
+
     @property
     def control_addresses(self):
         """Addresses of the control members, comma-separated."""
@@ -239,7 +262,7 @@
             "clusterKeyFile": self.key_file,
         }
         if self.relays:
-            settings["listenAddress"] = f"127.0.0.1:{7151 + self.base + i}"
+            settings["listenAddress"] = f"127.0.0.1:{self.relayed_port(i)}"
         settings.update(self.control_settings)
         path = self.write_settings(f"control-{i}", settings)
         return Process(f"control-{i}", [self.program("kumquat-control"), "--settings", path],
@@ -269,7 +292,7 @@
         return Process("standin", [
             self.program("kumquat-standin"), "--services", services, "--entries", internals,
             "--domains", ",".join(self.profile["domains"]), "--admin", self.admin_address,
-            "--first_port", str(20000 + 4 * self.base), "--lease_ms", str(self.lease_ms),
+            "--first_port", str(self.first_target_port), "--lease_ms", str(self.lease_ms),
             "--work_ms", str(self.work_ms), "--seed", str(self.seed)], self.folder)
 
     def start(self):
@@ -295,7 +318,9 @@
             if process.popen.poll() is None:
                 process.popen.send_signal(signal.SIGCONT)
                 process.popen.terminate()
-        return {process.name: process.stop() for process in self.processes()}
+        codes = {process.name: process.stop() for process in self.processes()}
+        self.claim.release()
+        return codes
 
     def __enter__(self):
         try:
--- a/test/processes/platform_fleet.py
+++ b/test/processes/platform_fleet.py
@@ -10,10 +10,12 @@
 import time
 
 from support import wait_until
+from address_claim import AddressClaim
 from fleet import Process, ROOT
 
 HOST = "quotes.example"
 SERVICES = [("catalogue", 4, 2), ("orders", 3, 2)]
+METRICS_PORT = 9464  # of every instance, as the templates have it
 
 
 def render(template, fields):
@@ -60,8 +62,22 @@
         self.caller_addresses = [f"127.0.0.1:{8001 + base + i}" for i in range(entries)]
         self.ready_addresses = [f"127.0.0.1:{9001 + base + i}" for i in range(entries)]
         self.admin_address = f"127.0.0.1:{9901 + base}"
+        self.first_target_port = 20000 + 4 * base
         self.processes = {}
         self.request_count = 0
+        self.claim = AddressClaim(self.addresses())
+
+    def addresses(self):
+        """All addresses that the processes of start() listen on."""
+        addresses = [*self.control_addresses, *self.caller_addresses, *self.ready_addresses,
+                     self.admin_address]
+        names = [f"control-{i}" for i in range(len(self.control_addresses))]
+        names += [f"entry-{i}" for i in range(len(self.caller_addresses))]
+        for name in names:
+            for port in (METRICS_PORT, self.internal_port(name)):
+                addresses.append(f"{self.loopback_address(name)}:{port}")
+        targets = sum(count for _, count, _ in SERVICES)
+        return addresses + [f"127.0.0.1:{self.first_target_port + i}" for i in range(targets)]
 
     def template_fields(self, name, first_start):
         return {"NodeName": name, "Zone": "zone-" + name[-1],
@@ -114,7 +130,7 @@
         self.processes["standin"] = Process("standin", [
             os.path.join(self.build, "kumquat-standin"), "--platform", "--services", services,
             "--entries", ",".join(self.control_addresses), "--admin", self.admin_address,
-            "--first_port", str(20000 + 4 * self.base), "--work_ms", "10", "--lease_ms", "1500"],
+            "--first_port", str(self.first_target_port), "--work_ms", "10", "--lease_ms", "1500"],
             self.folder)
         self.put_document(document(1))
         wait_until(self.all_entries_serve, 20, "all entries to serve", self.processes.values())
@@ -122,6 +138,7 @@
     def stop(self):
         for process in self.processes.values():
             process.stop()
+        self.claim.release()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def wipe_member(self, i):
--- a/test/processes/test_fleets.py
+++ b/test/processes/test_fleets.py
@@ -1,11 +1,60 @@
-"""Tests of the fleets themselves: a set-up says which process ended."""
+"""Tests of the fleets themselves: one waits for another's addresses and says which process ended."""
 
 import socket
+import threading
+import time
 import unittest
 
+from platform_fleet import PlatformFleet
 from support import Fleet, wait_until
 
 BASE = 80
+# Puts the members of one fleet where the entries of a fleet at BASE have their internal port.
+OVERLAPPING_BASE = BASE + 1900
+APART = 20
+HELD_S = 0.5
+
+
+class ClaimingFleet(PlatformFleet):
+    """Has loopback addresses of its own, beside those of other fleets."""
+
+    def loopback_address(self, name):
+        return f"127.0.{65 if name.startswith('control') else 66}.{10 + int(name.split('-')[1])}"
+
+
+class SharedAddresses(unittest.TestCase):
+    def check_second_waits(self, first, second):
+        """Makes the fleets first() and second(); checks that the second waits for the first."""
+        fleet = first()
+        self.addCleanup(fleet.stop)
+        made = []
+        maker = threading.Thread(target=lambda: made.append(second()), daemon=True)
+        maker.start()
+        time.sleep(HELD_S)
+        self.assertEqual(made, [])
+        fleet.stop()
+        maker.join(10)
+        self.assertEqual(len(made), 1)
+        made[0].stop()
+
+    # Guards against two runs of one test file whose fleets answer for each other: the entry of the
+    # second could not listen, and "timed out waiting for the stop to begin".
+    def test_a_fleet_waits_for_another_at_the_same_addresses(self):
+        for kind in (Fleet, ClaimingFleet):
+            with self.subTest(kind.__name__):
+                self.check_second_waits(lambda: kind(base=BASE), lambda: kind(base=BASE))
+
+    # Guards against entries that cannot listen where another fleet has its members, and "timed out
+    # waiting for all entries to know all targets".
+    def test_a_fleet_waits_for_another_of_which_it_shares_one_address(self):
+        self.check_second_waits(lambda: ClaimingFleet(base=OVERLAPPING_BASE, entries=0),
+                                lambda: Fleet(base=BASE, entries=1))
+
+    def test_fleets_at_other_addresses_do_not_wait(self):
+        for kind, base in ((Fleet, BASE), (ClaimingFleet, BASE + APART)):
+            fleet = kind(base=base)
+            self.addCleanup(fleet.stop)
+            self.assertTrue(fleet.claim.holders)
 
 
 class EndedProcesses(unittest.TestCase):
