--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -15,6 +15,8 @@
 import time
 import urllib.request
 
+from address_claim import AddressClaim
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 PROFILES = {
@@ -33,19 +35,38 @@
 }
 
 
-def wait_until(check, seconds, what):
-    """Polls check() until it is true; raises RuntimeError naming `what` after `seconds`."""
+def wait_until(check, seconds, what, running=()):
+    """Polls check() until it is true; raises RuntimeError naming `what` after `seconds`.
+
+    Raises at once if one of the processes in `running` has ended.
+    """
     end = time.monotonic() + seconds
     while time.monotonic() < end:
-        try:
-            if check():
-                return
-        except (OSError, ValueError, KeyError, RuntimeError, subprocess.SubprocessError):
-            pass
+        done = succeeds(check)
+        # Also after a success, which may be the answer of another process at the same address.
+        check_running(running)
+        if done:
+            return
         time.sleep(0.05)
     raise RuntimeError("timed out waiting for " + what)
 
 
+def succeeds(check):
+    """Whether check() is true; an error that a fleet causes while it starts counts as false."""
+    try:
+        return check()
+    except (OSError, ValueError, KeyError, RuntimeError, subprocess.SubprocessError):
+        return False
+
+
+def check_running(processes):
+    """Raises RuntimeError if one of the processes has ended, with the last line of its output."""
+    for process in processes:
+        code = process.popen.poll()
+        if code is not None:
+            raise RuntimeError(f"{process.name} ended with code {code}: {process.last_line()}")
+
+
 class TcpRelay(threading.Thread):
     """Forwards TCP connections. While `silent` is set, it reads data and drops it."""
 
@@ -106,6 +127,11 @@
     def signal(self, number):
         os.kill(self.pid, number)
 
+    def last_line(self):
+        with open(self.log_path, errors="replace") as log:
+            lines = log.read().splitlines()
+        return lines[-1] if lines else "no output"
+
     def stop(self, seconds=20):
         """Terminates the process, kills it after `seconds` and returns its exit code."""
         if self.popen.poll() is None:
@@ -159,8 +185,9 @@
         self.entry_processes = []
         self.standin_process = None
         self.key_file = os.path.join(self.folder, "cluster.key")
+        self.claim = AddressClaim(self.addresses(relay))
         # With relays, all traffic to a control member passes through a relay that can drop it.
-        self.relays = [TcpRelay(7101 + base + i, 7151 + base + i)
+        self.relays = [TcpRelay(7101 + base + i, self.relayed_port(i))
                        for i in range(controls)] if relay else []
         with open(self.key_file, "w") as file:
             file.write("local-fleet-" + os.urandom(16).hex() + "\n")
@@ -170,6 +197,10 @@
     def control_address(self, i):
         return f"127.0.0.1:{7101 + self.base + i}"
 
+    def relayed_port(self, i):
+        """Where a control member listens that has a relay at its address."""
+        return 7151 + self.base + i
+
     def caller_address(self, i):
         return f"127.0.0.1:{8001 + self.base + i}"
 
@@ -183,6 +214,22 @@
     def admin_address(self):
         return f"127.0.0.1:{9901 + self.base}"
 
+    @property
+    def first_target_port(self):
+        return 20000 + 4 * self.base
+
+    def addresses(self, relay):
+        """All addresses that the fleet's processes and relays listen on."""
+        members = range(self.control_count)
+        addresses = [self.control_address(i) for i in members] + [self.admin_address]
+        for i in range(self.entry_count):
+            addresses += [self.caller_address(i), self.internal_address(i), self.gossip_address(i)]
+        targets = sum(count for _, count, _ in self.services)
+        ports = list(range(self.first_target_port, self.first_target_port + targets))
+        if relay:
+            ports += [self.relayed_port(i) for i in members]
+        return addresses + [f"127.0.0.1:{port}" for port in ports]
+
     @property
     def control_addresses(self):
         """Addresses of the control members, comma-separated."""
@@ -215,7 +262,7 @@
             "clusterKeyFile": self.key_file,
         }
         if self.relays:
-            settings["listenAddress"] = f"127.0.0.1:{7151 + self.base + i}"
+            settings["listenAddress"] = f"127.0.0.1:{self.relayed_port(i)}"
         settings.update(self.control_settings)
         path = self.write_settings(f"control-{i}", settings)
         return Process(f"control-{i}", [self.program("kumquat-control"), "--settings", path],
@@ -245,29 +292,35 @@
         return Process("standin", [
             self.program("kumquat-standin"), "--services", services, "--entries", internals,
             "--domains", ",".join(self.profile["domains"]), "--admin", self.admin_address,
-            "--first_port", str(20000 + 4 * self.base), "--lease_ms", str(self.lease_ms),
+            "--first_port", str(self.first_target_port), "--lease_ms", str(self.lease_ms),
             "--work_ms", str(self.work_ms), "--seed", str(self.seed)], self.folder)
 
     def start(self):
         self.control_processes = [self.start_control(i) for i in range(self.control_count)]
-        wait_until(lambda: self.dump(self.control_address(0)), 10, "the first control member")
+        wait_until(lambda: self.dump(self.control_address(0)), 10, "the first control member",
+                   self.control_processes)
         self.ctl("form", control=self.control_address(0))
-        wait_until(self.all_members_are_voters, 15, "all control members to be voters")
+        wait_until(self.all_members_are_voters, 15, "all control members to be voters",
+                   self.control_processes)
         self.ctl("apply", self.configuration)
         self.entry_processes = [self.start_entry(i) for i in range(self.entry_count)]
         self.standin_process = self.start_standin()
-        wait_until(self.entries_ready, 20, "all entries to know all targets")
+        wait_until(self.entries_ready, 20, "all entries to know all targets", self.processes())
         return self
 
+    def processes(self):
+        standin = [self.standin_process] if self.standin_process else []
+        return self.entry_processes + standin + self.control_processes
+
     def stop(self):
         """Terminates all processes; returns their exit codes by name."""
-        processes = (self.entry_processes + ([self.standin_process] if self.standin_process else [])
-                     + self.control_processes)
-        for process in processes:
+        for process in self.processes():
             if process.popen.poll() is None:
                 process.popen.send_signal(signal.SIGCONT)
                 process.popen.terminate()
-        return {process.name: process.stop() for process in processes}
+        codes = {process.name: process.stop() for process in self.processes()}
+        self.claim.release()
+        return codes
 
     def __enter__(self):
         try:
