Say that the connection closes also after a response of HTTP/1.0

Callers saw a connection end without `Connection: close` before, behind a response that came from a target of HTTP/1.0: at a planned stop, and where they had asked for the close themselves. A caller that keeps its connection sends its next request into that close.

Cause: the field was set while the response still had its target's version, for which closing is the default and goes without saying. Then the version became 1.1, for which it means the opposite.

The version is set first now, in one place for both ways of writing.

--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -114,6 +114,14 @@
     (void)writeResponse(refusal(RefusalReason::internalError, RunOutcome::unknown), yield);
 }
 
+// Each version has a default of its own, and a target's may be another than the one that is
+// written.
+void CallerConnection::sayWhetherKept(HttpResponse &response, bool keep)
+{
+    response.version(11);
+    response.keep_alive(keep);
+}
+
 // Closing a socket with unread input sends a reset, as does later input. It may discard responses
 // that the caller has not received yet.
 void CallerConnection::discardInput(Yield yield)
@@ -369,7 +377,7 @@
     stopWatching();
     discardShortBody(yield);
     const bool keep = keepsAlive();
-    response.keep_alive(keep);
+    sayWhetherKept(response, keep);
     const bool isHeadRequest = parser_->is_header_done() && header().method() == http::verb::head;
     responseStarted_ = true;
     const ErrorCode error = writeMessage(response, isHeadRequest, yield);
@@ -384,7 +392,6 @@
 ErrorCode CallerConnection::writeMessage(HttpResponse &response, bool isHeadRequest, Yield yield)
 {
     ErrorCode error;
-    response.version(11);
     if (isHeadRequest) {
         response.content_length(response.body().size());
         response.body().clear();
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -112,6 +112,7 @@
     void failPending(const PendingResponsePtr &pending, Yield yield);
     void sendUntilEnd(const PendingResponse &pending, Yield yield);
     void sendPending(PendingResponse &next, Yield yield);
+    static void sayWhetherKept(HttpResponse &response, bool keep);
     ErrorCode writeMessage(HttpResponse &response, bool isHeadRequest, Yield yield);
     void closeWhenIdleFor(Milliseconds idleTimeout);
     void dropResponses(DropCause cause);
--- a/src/protocol/CallerPipeline.cpp
+++ b/src/protocol/CallerPipeline.cpp
@@ -122,7 +122,7 @@
     isSending_ = true;
     const bool isLast = responses_.isEmpty() && !isRequestWaiting_ && !mayReadNext();
     closing_ = closing_ || isLast;
-    next.response.keep_alive(!closing_);
+    sayWhetherKept(next.response, !closing_);
     const ErrorCode error = writeMessage(next.response, next.isHeadRequest, yield);
     next.response = {};
     next.isEnded = true;
--- /dev/null
+++ b/test/correctness/ResponseFraming.cpp
@@ -0,0 +1,105 @@
+// What a caller's connection writes can be framed by a strict reader, whatever the target's
+// response was like.
+#include "TestSupport.h"
+#include "protocol/CallerConnection.h"
+#include "transport/Spawn.h"
+
+using namespace kumquat;
+
+namespace {
+
+constexpr int oldVersion = 10;
+
+HttpResponse responseOf(http::status status, int version, const std::string &body)
+{
+    HttpResponse response(status, version);
+    response.set("Kumquatdeal-Request-Id", "a");
+    response.body() = body;
+    return response;
+}
+
+std::string request(const std::string &method, const std::string &fields)
+{
+    return method + " /a HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n";
+}
+
+} // namespace
+
+TEST_GROUP(ResponseFraming)
+{
+    asio::io_context loop { 1 };
+    bool isStopping = false;
+
+    CallerHooks hooks()
+    {
+        CallerHooks hooks;
+        hooks.isStopping = [this] { return isStopping; };
+        hooks.limits = [] { return CallerLimits(); };
+        hooks.handlerFailed = [](const char *) {};
+        return hooks;
+    }
+
+    // The process begins to stop meanwhile, which closes the connection.
+    void writeLater(CallerConnection & caller, const HttpResponse &response)
+    {
+        const ResponseChannel channel = caller.readAhead();
+        spawnOn(loop, [this, channel, &response](Yield yield) {
+            isStopping = true;
+            channel.write(response, yield);
+        });
+    }
+
+    // Answers each request, beside the following ones if it may be read ahead.
+    void serve(TcpAcceptor & acceptor, const HttpResponse &response, Yield yield)
+    {
+        TcpSocket socket(loop);
+        ErrorCode error;
+        acceptor.async_accept(socket, yield[error]);
+        const auto connection = std::make_shared<CallerConnection>(loop, std::move(socket));
+        const auto answer = [this, &response](CallerConnection &caller, Yield inner) {
+            if (caller.canReadAhead()) {
+                writeLater(caller, response);
+            } else {
+                (void)caller.writeResponse(response, inner);
+            }
+        };
+        connection->serve(answer, hooks(), yield);
+    }
+
+    // All that a caller of one request receives until the connection ends.
+    std::string exchange(const std::string &sent, const HttpResponse &response)
+    {
+        TcpAcceptor acceptor(loop, TcpEndpoint(asio::ip::address_v4::loopback(), 0));
+        std::string received;
+        spawnOn(loop, [&](Yield yield) { serve(acceptor, response, yield); });
+        spawnOn(loop, [&](Yield yield) {
+            TcpSocket caller(loop);
+            ErrorCode error;
+            caller.async_connect(acceptor.local_endpoint(), yield[error]);
+            asio::async_write(caller, asio::buffer(sent), yield[error]);
+            asio::async_read(caller, asio::dynamic_buffer(received), yield[error]);
+            caller.close(error);
+        });
+        loop.run();
+        loop.restart();
+        isStopping = false;
+        return received;
+    }
+
+    void checkHas(const std::string &text, const char *part, bool has)
+    {
+        const bool found = text.find(part) != std::string::npos;
+        CHECK_TEXT(found == has, (std::string(part) + " in: " + text).c_str());
+    }
+};
+
+// Guards against a connection that closes without saying so, since its target speaks HTTP/1.0.
+TEST(ResponseFraming, aResponseOfAnOldTargetSaysThatTheConnectionCloses)
+{
+    const HttpResponse old = responseOf(http::status::ok, oldVersion, "body");
+    for (const char *fields : { "", "Connection: close\r\n" }) {
+        const std::string received = exchange(request("GET", fields), old);
+        checkHas(received, "HTTP/1.1 200", true);
+        checkHas(received, "Connection: close\r\n", true);
+    }
+}
