Invent no length in responses without a body

Callers got `Content-Length: 0` in 204, where no length may stand (RFC 9110, 8.6), and in 304 and responses to HEAD, where it claims that the body is empty. Strict readers reject the first, and so lose a response to a request that has run.

Cause: a response was framed by the length of the body held, whether or not its status or the request's method has one.

Evidence: ResponseFraming, aResponseWithoutABodyInventsNoLength failed on the code as found ("204 No Content", "Content-Length: 0"), as did the strict callers of a process test, for each 204.

Such a response is written as a header alone now. Only the response to HEAD names a length, that of the body left out, where that is known.

--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -43,6 +43,23 @@
     }
 }
 
+bool mayHaveBody(const HttpResponse &response)
+{
+    return response.result() != http::status::no_content
+        && response.result() != http::status::not_modified;
+}
+
+// The only length that such a response may name is that of the body left out, if it is known.
+void leaveBodyOut(HttpResponse &response)
+{
+    const std::size_t length = response.body().size();
+    response.content_length(boost::none);
+    if (mayHaveBody(response) && length > 0) {
+        response.content_length(length);
+    }
+    response.body().clear();
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(asio::io_context &context, TcpSocket socket)
@@ -392,15 +409,13 @@
 ErrorCode CallerConnection::writeMessage(HttpResponse &response, bool isHeadRequest, Yield yield)
 {
     ErrorCode error;
-    if (isHeadRequest) {
-        response.content_length(response.body().size());
-        response.body().clear();
+    stream_.expires_after(writeTimeout);
+    if (isHeadRequest || !mayHaveBody(response)) {
+        leaveBodyOut(response);
         http::response_serializer<http::string_body> serializer(response);
-        stream_.expires_after(writeTimeout);
         http::async_write_header(stream_, serializer, yield[error]);
     } else {
         response.prepare_payload();
-        stream_.expires_after(writeTimeout);
         http::async_write(stream_, response, yield[error]);
     }
     return error;
--- a/test/correctness/ResponseFraming.cpp
+++ b/test/correctness/ResponseFraming.cpp
@@ -103,3 +103,22 @@
         checkHas(received, "Connection: close\r\n", true);
     }
 }
+
+// Guards against responses to which strict callers object, since a length stands in what has no
+// body.
+TEST(ResponseFraming, aResponseWithoutABodyInventsNoLength)
+{
+    const HttpResponse whole = responseOf(http::status::ok, 11, "body");
+    const HttpResponse headOnly = responseOf(http::status::ok, 11, "");
+    for (const char *fields : { "", "Connection: close\r\n" }) {
+        for (const auto status : { http::status::no_content, http::status::not_modified }) {
+            const HttpResponse response = responseOf(status, 11, "");
+            checkHas(exchange(request("GET", fields), response), "Content-Length", false);
+        }
+        checkHas(exchange(request("HEAD", fields), headOnly), "Content-Length", false);
+        const std::string received = exchange(request("HEAD", fields), whole);
+        checkHas(received, "Content-Length: 4\r\n", true);
+        checkHas(received, "body", false);
+        checkHas(exchange(request("GET", fields), headOnly), "Content-Length: 0\r\n", true);
+    }
+}
