Stream no chunks to callers of HTTP/1.0

Callers of HTTP/1.0 got a streamed response of unknown length in chunks, which that version doesn't have: they took the sizes for part of the body, or waited. It concerns the product's own interface, which streams long responses.

Cause: the header of a streamed response didn't look at the request's version.

Evidence: ResponseFraming, anOldCallerGetsNoChunks failed on the code as found ("Transfer-Encoding: chunked").

Such a body ends with the connection now, and the response says so. One that breaks off is reset as before, so that it isn't taken for whole.

--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -428,12 +428,14 @@
     responseStarted_ = true;
     streamedResponse_.emplace(std::move(responseHeader));
     streamedResponse_->version(11);
+    // A caller of an older version knows no chunks: the end of the connection ends the body.
+    const bool knowsChunks = header().version() >= 11;
     if (length) {
         streamedResponse_->content_length(*length);
-    } else {
+    } else if (knowsChunks) {
         streamedResponse_->chunked(true);
     }
-    streamedResponse_->keep_alive(keepsAlive());
+    streamedResponse_->keep_alive((length || knowsChunks) && keepsAlive());
     streamedResponse_->body().data = nullptr;
     streamedResponse_->body().more = true;
     serializer_.emplace(*streamedResponse_);
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -74,7 +74,7 @@
     ErrorCode writeResponse(HttpResponse response, Yield yield);
 
     /// Streams a response: its header, then body parts, of which the last one ends it. Without a
-    /// \p length the body is chunked.
+    /// \p length the body is chunked, or ends with the connection if the caller knows no chunks.
     ErrorCode writeHeader(http::response_header<> responseHeader,
                           std::optional<std::uint64_t> length, Yield yield);
     ErrorCode writeBodyPart(const std::string &part, bool last, Yield yield);
--- a/test/correctness/ResponseFraming.cpp
+++ b/test/correctness/ResponseFraming.cpp
@@ -18,9 +18,10 @@
     return response;
 }
 
-std::string request(const std::string &method, const std::string &fields)
+std::string request(const std::string &method, const std::string &fields = "",
+                    const std::string &version = "1.1")
 {
-    return method + " /a HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n";
+    return method + " /a HTTP/" + version + "\r\nHost: h\r\n" + fields + "\r\n";
 }
 
 } // namespace
@@ -29,6 +30,7 @@
 {
     asio::io_context loop { 1 };
     bool isStopping = false;
+    bool isStreamed = false; ///< responses are written in parts
 
     CallerHooks hooks()
     {
@@ -49,6 +51,13 @@
         });
     }
 
+    static void writeParts(CallerConnection & caller, const HttpResponse &response, Yield yield)
+    {
+        CHECK_FALSE(caller.writeHeader(response.base(), std::nullopt, yield).failed());
+        CHECK_FALSE(caller.writeBodyPart(response.body(), false, yield).failed());
+        CHECK_FALSE(caller.writeBodyPart("", true, yield).failed());
+    }
+
     // Answers each request, beside the following ones if it may be read ahead.
     void serve(TcpAcceptor & acceptor, const HttpResponse &response, Yield yield)
     {
@@ -57,7 +66,9 @@
         acceptor.async_accept(socket, yield[error]);
         const auto connection = std::make_shared<CallerConnection>(loop, std::move(socket));
         const auto answer = [this, &response](CallerConnection &caller, Yield inner) {
-            if (caller.canReadAhead()) {
+            if (isStreamed) {
+                writeParts(caller, response, inner);
+            } else if (caller.canReadAhead()) {
                 writeLater(caller, response);
             } else {
                 (void)caller.writeResponse(response, inner);
@@ -122,3 +133,19 @@
         checkHas(exchange(request("GET", fields), headOnly), "Content-Length: 0\r\n", true);
     }
 }
+
+// Guards against a response in chunks to a caller that knows none.
+TEST(ResponseFraming, anOldCallerGetsNoChunks)
+{
+    isStreamed = true;
+    const HttpResponse response = responseOf(http::status::ok, 11, "body");
+    for (const char *fields : { "", "Connection: keep-alive\r\n" }) {
+        const std::string received = exchange(request("GET", fields, "1.0"), response);
+        checkHas(received, "Transfer-Encoding", false);
+        checkHas(received, "Connection: close\r\n", true);
+        checkHas(received, "\r\n\r\nbody", true);
+        CHECK_TRUE(received.substr(received.size() - 4) == "body");
+    }
+    checkHas(exchange(request("GET", "Connection: close\r\n"), response), "4\r\nbody\r\n0\r\n",
+             true);
+}
