Keep trailers out of the header of responses

Callers got the fields behind a target's chunked body as fields of the header: a second request ID, or more of them than they read (300 fields, 33 KB). The entry itself took them for the target's word: its ID, its stamp, the proof of not having run.

Cause: the parser adds the fields of a trailer to those of the header, and the header was looked at after the body. The limit on a header doesn't hold for them.

The header is kept as it was before the body where a trailer may follow, for all that read responses of targets.

--- a/src/protocol/TargetConnection.cpp
+++ b/src/protocol/TargetConnection.cpp
@@ -113,6 +113,7 @@
     ErrorCode error;
     for (int interim = 0; interim <= maxInterimResponses; ++interim) {
         parser_.emplace();
+        header_.reset();
         parser_->header_limit(maxHeaderBytes);
         parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
         parser_->skip(isHeadRequest);
@@ -123,6 +124,7 @@
         if (parser_->get().result_int() >= 200) {
             // The final response; readBody() reads its body. A body that is delimited only by the
             // end of the connection is complete unless the connection was reset.
+            keepHeader();
             return hasSoundFraming(parser_->get()) ? ErrorCode()
                                                    : http::error::bad_transfer_encoding;
         }
@@ -130,6 +132,15 @@
     return http::error::bad_status;
 }
 
+// The parser adds the fields of a trailer to those of the header. There they could change what the
+// response means, or exceed the limit on a header.
+void TargetConnection::keepHeader()
+{
+    if (parser_->chunked()) {
+        header_.emplace(parser_->get().base());
+    }
+}
+
 ErrorCode TargetConnection::readBody(std::string &body, std::size_t limit, Yield yield)
 {
     ErrorCode error;
--- a/src/protocol/TargetConnection.h
+++ b/src/protocol/TargetConnection.h
@@ -37,7 +37,11 @@
     /// Appends to \p body until the response is complete or \p body holds \p limit bytes.
     ErrorCode readBody(std::string &body, std::size_t limit, Yield yield);
 
-    const http::response_header<> &header() const { return parser_->get(); }
+    /// Without the fields of a trailer.
+    const http::response_header<> &header() const
+    {
+        return header_ ? *header_ : parser_->get().base();
+    }
     std::optional<std::uint64_t> contentLength() const;
     bool isResponseComplete() const { return parser_ && parser_->is_done(); }
     bool isReusable() const;
@@ -60,6 +64,7 @@
 
 private:
     bool skipInterim();
+    void keepHeader();
 
     using Parser = http::response_parser<http::buffer_body>;
 
@@ -67,6 +72,7 @@
     TcpStream stream_;
     beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
+    std::optional<http::response_header<>> header_; ///< when a trailer may follow
     std::optional<http::request<http::buffer_body>> streamedRequest_;
     std::optional<http::request_serializer<http::buffer_body>> serializer_;
     TimePoint lastResponseAt_; ///< of the connecting when there was no response yet
--- a/test/correctness/TargetResponseFraming.cpp
+++ b/test/correctness/TargetResponseFraming.cpp
@@ -280,30 +280,43 @@
                                return ResponseScript { { current.bytes, current.end } };
                            } };
 
-    /// The response that an exchange of a host route takes for whole.
-    std::optional<WholeResponse> hostRoute(const TargetPtr &target, Yield yield)
+    ExchangeResult hostRouteResult(Yield yield)
     {
         const http::verb method = current.isHeadRequest ? http::verb::head : http::verb::get;
-        ExchangeRequest request { worker, platform::dialectNamed("platform"),
-                                  target, HttpRequest(method, "/x", 11),
-                                  "a",    Clock::now() + exchangeTimeout,
-                                  true,   {} };
-        const ExchangeResult result = runExchange(request, yield);
-        return result.outcome == ExchangeOutcome::completed
-            ? std::optional<WholeResponse>({ result.response.result_int(), result.response.body() })
-            : std::nullopt;
+        ExchangeRequest request { worker,
+                                  platform::dialectNamed("platform"),
+                                  server.target(),
+                                  HttpRequest(method, "/x", 11),
+                                  "a",
+                                  Clock::now() + exchangeTimeout,
+                                  true,
+                                  {} };
+        return runExchange(request, yield);
     }
 
-    /// The response that an attempt of the product's own dialect takes for whole.
-    std::optional<WholeResponse> ownDialect(const ActiveService &service, const TargetPtr &target,
-                                            Yield yield)
+    AttemptResult ownResult(const ActiveService &service, Yield yield)
     {
         const http::verb method = current.isHeadRequest ? http::verb::head : http::verb::get;
         AttemptOptions options;
         options.deadline = Clock::now() + exchangeTimeout;
         AttemptHandle handle;
-        const AttemptResult result = runAttempt(
-            worker, service, target, HttpRequest(method, "/x", 11), options, handle, yield);
+        return runAttempt(worker, service, server.target(), HttpRequest(method, "/x", 11), options,
+                          handle, yield);
+    }
+
+    /// The response that an exchange of a host route takes for whole.
+    std::optional<WholeResponse> hostRoute(Yield yield)
+    {
+        const ExchangeResult result = hostRouteResult(yield);
+        return result.outcome == ExchangeOutcome::completed
+            ? std::optional<WholeResponse>({ result.response.result_int(), result.response.body() })
+            : std::nullopt;
+    }
+
+    /// The response that an attempt of the product's own dialect takes for whole.
+    std::optional<WholeResponse> ownDialect(const ActiveService &service, Yield yield)
+    {
+        const AttemptResult result = ownResult(service, yield);
         return result.outcome == AttemptOutcome::completed
             ? std::optional<WholeResponse>({ result.response.result_int(), result.response.body() })
             : std::nullopt;
@@ -328,8 +341,8 @@
                 current = tried;
                 const bool ended = tried.end == EndOfPart::close;
                 const auto strict = StrictReader(tried.bytes, tried.isHeadRequest, ended).read();
-                const auto route = hostRoute(server.target(), yield);
-                const auto own = ownDialect(*service, server.target(), yield);
+                const auto route = hostRoute(yield);
+                const auto own = ownDialect(*service, yield);
                 const bool exact = both && ended;
                 if ((route || exact) && !isSame(route, strict)) {
                     wrong.push_back("host route, " + tried.name());
@@ -410,3 +423,22 @@
     }
     check(cases, false);
 }
+
+// Guards against a response that its caller can't match or read, since fields behind the body were
+// taken for fields of the header.
+TEST(TargetResponseFraming, aTrailerIsNoPartOfTheHeader)
+{
+    current.bytes = ok
+        + "Transfer-Encoding: chunked\r\n\r\n5\r\nHello\r\n0\r\nKumquatdeal-Request-Id: b\r\n"
+          "X-Trailer: t\r\n\r\n";
+    auto service = std::make_shared<ActiveService>();
+    service->runtime = std::make_shared<ServiceRuntime>();
+    runOn(loop, [&](Yield yield) {
+        for (const HttpResponse &response :
+             { hostRouteResult(yield).response, ownResult(*service, yield).response }) {
+            STRCMP_EQUAL("Hello", response.body().c_str());
+            LONGS_EQUAL(1, response.count("Kumquatdeal-Request-Id"));
+            LONGS_EQUAL(0, response.count("X-Trailer"));
+        }
+    });
+}
