Pass on no response that names two requests

Callers got a response with their own request ID and another one, where a target had sent both. A caller that reads the last field, or all, takes it for another's response, and its own counts as missing.

Cause: only the first ID was compared.

A response that names several requests is nobody's: the attempt fails at once and its connection ends. One ID that stands twice is passed on once.

--- a/src/coordination/entry/HostRouteExchange.cpp
+++ b/src/coordination/entry/HostRouteExchange.cpp
@@ -5,6 +5,8 @@
 #include "protocol/Headers.h"
 #include "transport/Spawn.h"
 
+#include <algorithm>
+
 namespace kumquat {
 
 namespace {
@@ -64,6 +66,8 @@
     ErrorCode reserveBody(std::string &body, Yield yield);
     ErrorCode growBody(std::string &body);
     ErrorCode readWholeBody(std::string &body, Yield yield);
+    bool namesSeveral() const;
+    void keepOneRequestId();
     bool echoesRequestId() const;
     bool matchesRequest() const;
     void noteStatements();
@@ -115,6 +119,24 @@
     return {};
 }
 
+// Either request that such a response names could take it for its own.
+bool Exchange::namesSeveral() const
+{
+    const auto ids = connection_->header().equal_range(request_.dialect.headers.requestId);
+    return std::any_of(ids.first, ids.second,
+                       [&ids](const auto &field) { return field.value() != ids.first->value(); });
+}
+
+void Exchange::keepOneRequestId()
+{
+    const std::string &name = request_.dialect.headers.requestId;
+    const auto field = result_.response.find(name);
+    if (field != result_.response.end()) {
+        const std::string id(field->value());
+        result_.response.set(name, id);
+    }
+}
+
 bool Exchange::echoesRequestId() const
 {
     const auto &header = connection_->header();
@@ -140,12 +162,16 @@
     const bool headRequest = request_.message.header.method() == http::verb::head;
     ErrorCode error = connection_->readHeader(headRequest, yield);
     std::string body;
+    if (!error && namesSeveral()) {
+        error = http::error::bad_value;
+    }
     if (!error) {
         error = readWholeBody(body, yield);
     }
     if (!error) {
         result_.response = HttpResponse(connection_->header());
         result_.response.body() = std::move(body);
+        keepOneRequestId();
     }
     return error;
 }
--- a/test/correctness/TargetResponseFraming.cpp
+++ b/test/correctness/TargetResponseFraming.cpp
@@ -442,3 +442,23 @@
         }
     });
 }
+
+// Guards against a response that its caller takes for another's, since it names two requests.
+TEST(TargetResponseFraming, aResponseThatNamesTwoRequestsIsNoResponse)
+{
+    const std::string named = "HTTP/1.1 200 OK\r\n" + stamped + "Kumquatdeal-Request-Id: %\r\n"
+        + "Content-Length: 5\r\n\r\nHello";
+    runOn(loop, [&](Yield yield) {
+        for (const char *other : { "b", "a" }) {
+            current.bytes = std::string(named).replace(named.find('%'), 1, other);
+            current.end = EndOfPart::keep;
+            const TimePoint start = Clock::now();
+            const ExchangeResult result = hostRouteResult(yield);
+            CHECK_TRUE(Clock::now() - start < exchangeTimeout / 2);
+            const bool isSame = std::string(other) == "a";
+            CHECK_TRUE(result.outcome
+                       == (isSame ? ExchangeOutcome::completed : ExchangeOutcome::failed));
+            LONGS_EQUAL(isSame ? 1 : 0, result.response.count("Kumquatdeal-Request-Id"));
+        }
+    });
+}
