Take the other response when two attempts end together

Callers got an error, 500 or 502, though the target of a hedge had succeeded: where both attempts ended before the request went on, as after a pause of the process. The request had run, and its whole response was thrown away.

Cause: after a failed attempt the request asked whether another one was still running. One that had ended and wasn't looked at yet counted as none.

The request now goes on until each result was looked at. Another attempt was started in that case too, for which there is no need.

--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -79,6 +79,7 @@
     void startAttempt(const TargetPtr &target);
     bool startNextAttempt(Yield yield);
     bool anyRunning() const;
+    bool awaitsResult() const;
     std::shared_ptr<TrackedAttempt> takeEndedAttempt();
     void recordOutcome(const Target &target, const ExchangeResult &result, Clock::duration elapsed);
     bool mayRetry(ExchangeOutcome outcome);
@@ -204,6 +205,13 @@
                        [](const auto &attempt) { return !attempt->ended; });
 }
 
+// Two attempts may end before the request goes on.
+bool HostRouteCall::awaitsResult() const
+{
+    return std::any_of(group_->attempts.begin(), group_->attempts.end(),
+                       [](const auto &attempt) { return !attempt->handled; });
+}
+
 std::shared_ptr<TrackedAttempt> HostRouteCall::takeEndedAttempt()
 {
     for (const auto &attempt : group_->attempts) {
@@ -296,7 +304,7 @@
     if (completed) {
         lastErrorResponse_ = std::move(result.response);
     }
-    if (anyRunning()) {
+    if (awaitsResult()) {
         return true;
     }
     const bool retry = mayRetry(result.outcome);
