--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -42,6 +42,23 @@
     }
 }
 
+bool mayHaveBody(const HttpResponse &response)
+{
+    return response.result() != http::status::no_content
+        && response.result() != http::status::not_modified;
+}
+
+// The only length that such a response may name is that of the body left out, if it is known.
+void leaveBodyOut(HttpResponse &response)
+{
+    const std::size_t length = response.body().size();
+    response.content_length(boost::none);
+    if (mayHaveBody(response) && length > 0) {
+        response.content_length(length);
+    }
+    response.body().clear();
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(asio::io_context &context, TcpSocket socket)
@@ -115,6 +132,14 @@
     (void)writeResponse(refusal(RefusalReason::internalError, RunOutcome::unknown), yield);
 }
 
+// Each version has a default of its own, and a target's may be another than the one that is
+// written.
+void CallerConnection::sayWhetherKept(HttpResponse &response, bool keep)
+{
+    response.version(11);
+    response.keep_alive(keep);
+}
+
 // Closing a socket with unread input sends a reset, as does later input. It may discard responses
 // that the caller has not received yet.
 void CallerConnection::discardInput(Yield yield)
@@ -381,7 +406,7 @@
     stopWatching();
     discardShortBody(yield);
     const bool keep = keepsAlive();
-    response.keep_alive(keep);
+    sayWhetherKept(response, keep);
     const bool isHeadRequest = parser_->is_header_done() && header().method() == http::verb::head;
     responseStarted_ = true;
     const ErrorCode error = writeMessage(response, isHeadRequest, yield);
@@ -396,16 +421,13 @@
 ErrorCode CallerConnection::writeMessage(HttpResponse &response, bool isHeadRequest, Yield yield)
 {
     ErrorCode error;
-    response.version(11);
-    if (isHeadRequest) {
-        response.content_length(response.body().size());
-        response.body().clear();
+    stream_.expires_after(writeTimeout);
+    if (isHeadRequest || !mayHaveBody(response)) {
+        leaveBodyOut(response);
         http::response_serializer<http::string_body> serializer(response);
-        stream_.expires_after(writeTimeout);
         http::async_write_header(stream_, serializer, yield[error]);
     } else {
         response.prepare_payload();
-        stream_.expires_after(writeTimeout);
         http::async_write(stream_, response, yield[error]);
     }
     return error;
@@ -418,12 +440,14 @@
     responseStarted_ = true;
     streamedResponse_.emplace(std::move(responseHeader));
     streamedResponse_->version(11);
+    // A caller of an older version knows no chunks: the end of the connection ends the body.
+    const bool knowsChunks = header().version() >= 11;
     if (length) {
         streamedResponse_->content_length(*length);
-    } else {
+    } else if (knowsChunks) {
         streamedResponse_->chunked(true);
     }
-    streamedResponse_->keep_alive(keepsAlive());
+    streamedResponse_->keep_alive((length || knowsChunks) && keepsAlive());
     streamedResponse_->body().data = nullptr;
     streamedResponse_->body().more = true;
     serializer_.emplace(*streamedResponse_);
