--- a/test/processes/test_strict_callers.py
+++ b/test/processes/test_strict_callers.py
@@ -8,8 +8,10 @@
 import os
 import random
 import re
+import signal
 import socket
 import threading
+import time
 import unittest
 
 from odd_targets import LONG_REPEATS, OddTarget, SCRIPTS, SERVICE, SOUND
@@ -34,6 +36,10 @@
     pass
 
 
+class Ended(Exception):
+    """The connection ended where a response is due."""
+
+
 class StrictCaller:
     """Reads exactly what HTTP/1.1 allows, and finds a fault in anything else."""
 
@@ -69,14 +75,16 @@
             data = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
         return data, Request(request_id, script, method, closes, expects)
 
-    def line(self):
+    def line(self, is_first=False):
         line = self.input.readline()
+        if is_first and not line:
+            raise Ended
         if not re.fullmatch(rb"[\t -~]*\r\n", line):
             raise Fault(f"not a line: {line[:60]}")
         return line[:-2].decode()
 
     def read(self, request):
-        line = self.line()
+        line = self.line(is_first=True)
         if request.expects and line == "HTTP/1.1 100 Continue":
             if self.line():
                 raise Fault("an interim response with fields")
@@ -143,7 +151,7 @@
 class StrictCallers(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
-        cls.fleet = OddFleet(base=BASE, entries=1)
+        cls.fleet = OddFleet(base=BASE, entries=2)
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start()
         cls.runs = collections.Counter()  # by request ID
@@ -154,20 +162,22 @@
         changed = document(2, routes)
         changed["Clusters"].append(dict(changed["Clusters"][0], Name=SERVICE))
         cls.fleet.put_document(changed)
-        for i in range(TARGETS):
-            wait_until(lambda name=f'"target":"odd{i}"': name in cls.log(), 10, "the targets")
-        wait_until(lambda: cls.fleet.metric(cls.fleet.ready_addresses[0],
-                                            "kumquat_configuration_number") == 2, 10, "version 2")
+        for entry, ready in enumerate(cls.fleet.ready_addresses):
+            for i in range(TARGETS):
+                wait_until(lambda name=f'"target":"odd{i}"': name in cls.log(entry), 10, "targets")
+            wait_until(lambda: cls.fleet.metric(ready, "kumquat_configuration_number") == 2, 10,
+                       "version 2")
 
     @classmethod
-    def log(cls):
-        with open(cls.fleet.processes["entry-0"].log_path) as file:
+    def log(cls, entry):
+        with open(cls.fleet.processes[f"entry-{entry}"].log_path) as file:
             return file.read()
 
     def setUp(self):
         self.statuses = collections.Counter()  # by script and status
         self.faults = []
         self.ended = 0  # callers
+        self.is_stopping = False
 
     def batch(self, chance):
         scripts = [chance.choice(SOUND if chance.random() < 0.5 else sorted(SCRIPTS))
@@ -179,7 +189,11 @@
 
     def call(self, caller, data, requests):
         """Sends requests and reads their responses; false when the connection has ended."""
-        caller.socket.sendall(data)
+        try:
+            caller.socket.sendall(data)
+        except ConnectionError:
+            self.note_end(requests)
+            return False
         for i, request in enumerate(requests):
             try:
                 response = caller.read(request)
@@ -191,20 +205,32 @@
                     caller.check_end()
                 elif request.closes:
                     raise Fault("no Connection: close")
+            except (Ended, ConnectionResetError):
+                self.note_end(requests[i:])
+                return False
             except (Fault, OSError) as fault:
                 self.faults.append(f"{request}, ran {self.runs[request.id]} times: {fault!r}")
                 return False
             if response.closes:
-                self.faults += [f"{behind} ran behind a response that closes"
-                                for behind in requests[i + 1:] if self.runs[behind.id]]
+                self.check_not_run(requests[i + 1:], "behind a response that closes")
                 return False
         return True
 
-    def run_caller(self, number):
+    def note_end(self, requests):
+        """Only an entry that stops may end a connection at which it has read no further request."""
+        if not self.is_stopping:
+            self.faults.append(f"the connection ended before {requests[0]}")
+        self.check_not_run(requests, "without a response")
+
+    def check_not_run(self, requests, where):
+        time.sleep(0.05)  # What was passed on has arrived by then.
+        self.faults += [f"{request} ran {where}" for request in requests if self.runs[request.id]]
+
+    def run_caller(self, number, entry=0):
         chance = random.Random(f"{SEED}/{number}")
         caller = None
         for _ in range(BATCHES):
-            caller = caller or StrictCaller(self.fleet.caller_addresses[0])
+            caller = caller or StrictCaller(self.fleet.caller_addresses[entry])
             encoded = [caller.encode(route, script, chance, method, closes)
                        for route, script, method, closes in self.batch(chance)]
             if not self.call(caller, b"".join(data for data, _ in encoded),
@@ -225,6 +251,25 @@
         self.assertGreater(min(self.statuses[script, 200] for script in ("ok", "long", "old")), 0)
         self.assertEqual(self.faults, [], f"seed {SEED}")
 
+    def run_until_stopped(self, number):
+        try:
+            self.run_caller(number, entry=1)
+        except ConnectionRefusedError:
+            pass  # The entry accepts no more.
+
+    # Guards against the same beside a planned stop, and against requests that run and get none.
+    def test_each_response_of_an_entry_that_stops_is_one(self):
+        callers = [threading.Thread(target=self.run_until_stopped, args=(i,)) for i in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        time.sleep(1)
+        self.is_stopping = True
+        self.fleet.processes["entry-1"].signal(signal.SIGTERM)
+        for caller in callers:
+            caller.join(60)
+        self.assertEqual(self.faults, [], f"seed {SEED}")
+        self.assertEqual(self.fleet.processes["entry-1"].stop(), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
