Requests of the product's own interface: a late long response gives its target's slot back

Callers saw a target that got ever fewer requests: the slot of an attempt whose long response came while its request waited for another target was never released.

Cause: a response that is longer than what is buffered keeps its target's slot until it was relayed. When the request ended first, at its deadline or with its caller gone, such a result was dropped with the group of attempts. Only attempts that ended later released their slot. Class: the end of a request drops what has arrived for it, with what it holds.

The end of a request now releases the slots of all responses that nobody will read.

Evidence: LateResponses aLongResponseThatNobodyTakesFreesItsSlot failed before (1 request in flight at the second target after its end, for 0) and passes. Platform routes buffer whole responses and are not concerned.

--- a/src/coordination/entry/IdempotentCall.cpp
+++ b/src/coordination/entry/IdempotentCall.cpp
@@ -206,6 +206,13 @@
     for (const auto &handle : group_->handles) {
         handle->cancel();
     }
+    // A response that is still to be read has kept its target's slot.
+    for (const AttemptResult &result : group_->results) {
+        if (result.outcome == AttemptOutcome::streaming) {
+            releaseTarget(*call_.service, *result.target);
+        }
+    }
+    group_->results.clear();
 }
 
 void IdempotentCall::run(Yield yield)
