Planned stop: callers that wait at the listener are answered before it closes

Callers that had connected and sent a whole request when an entry's listener closed, 2.6 s into its planned stop, were reset. On an entry that had been held up shortly before, 26 of 40 callers were.

Cause: the listener was closed with connections still waiting in its queue, which makes the system reset them. Callers accepted just before were closed as idle at the same moment, with their first request under way. Class: the end of a planned stop drops what is due.

The event loop now accepts all that waits before it closes the listener, and idle connections end 0.2 s later, so that a caller accepted last can bring its request. What connects between the last accept and the close is still reset: some microseconds.

--- a/src/coordination/entry/EntryProcess.cpp
+++ b/src/coordination/entry/EntryProcess.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Milliseconds drainPollInterval { 50 };
+/// A caller that connected just before the listener closed sends its request within this time.
+constexpr Milliseconds firstRequestTime { 200 };
 
 class Entry : public EntryProcess
 {
@@ -107,14 +109,18 @@
     }
 
     // The load balancer in front first sees "not ready" for the grace period; then the listeners
-    // close and requests in flight complete.
+    // close and requests in flight complete. Connections accepted last may still bring theirs.
     void drain()
     {
         logEvent(Event::processStopping, LogLevel::info, "entry={} connections={}", settings_.name,
                  core_.connections.load());
         std::this_thread::sleep_for(Milliseconds(settings_.stopGraceMs));
         for (auto &worker : workers_) {
-            worker.drain();
+            worker.closeListener();
+        }
+        std::this_thread::sleep_for(firstRequestTime);
+        for (auto &worker : workers_) {
+            worker.closeIdle();
         }
         while (core_.connections > 0 && Clock::now() < core_.stop.end()) {
             std::this_thread::sleep_for(drainPollInterval);
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -63,11 +63,18 @@
     thread_ = std::thread([this] { loop_.run(); });
 }
 
-void EntryWorker::drain()
+void EntryWorker::closeListener()
 {
     asio::post(loop_, [this] {
+        acceptArrived();
         ErrorCode ignored;
         acceptor_.close(ignored);
+    });
+}
+
+void EntryWorker::closeIdle()
+{
+    asio::post(loop_, [this] {
         for (const auto &caller : callers_) {
             caller->closeIfIdle();
         }
@@ -93,18 +100,36 @@
             pauseFor(loop_, acceptRetryDelay, yield);
             continue;
         }
-        if (core_.connections.load() >= maxConnections_) {
-            continue;
+        startServing(std::move(socket));
+    }
+}
+
+// Closing the listener resets what it has not accepted yet, whole requests too.
+void EntryWorker::acceptArrived()
+{
+    ErrorCode error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+        TcpSocket socket(loop_);
+        acceptor_.accept(socket, error);
+        if (!error) {
+            startServing(std::move(socket));
         }
-        ++core_.connections;
-        spawnOn(loop_,
-                [this, socket = std::make_shared<TcpSocket>(std::move(socket))](Yield inner) {
-                    serve(std::move(*socket), inner);
-                    --core_.connections;
-                });
     }
 }
 
+void EntryWorker::startServing(TcpSocket socket)
+{
+    if (core_.connections.load() >= maxConnections_) {
+        return;
+    }
+    ++core_.connections;
+    spawnOn(loop_, [this, socket = std::make_shared<TcpSocket>(std::move(socket))](Yield yield) {
+        serve(std::move(*socket), yield);
+        --core_.connections;
+    });
+}
+
 void EntryWorker::serve(TcpSocket socket, Yield yield)
 {
     ErrorCode ignored;
--- a/src/coordination/entry/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -23,8 +23,10 @@
     absl::Status listen(const Address &address);
     void start();
 
-    /// Closes the listener and idle connections; requests in flight go on.
-    void drain();
+    /// Closes the listener, after what has arrived there; connections go on.
+    void closeListener();
+    /// Closes the connections that wait for a request; requests in flight go on.
+    void closeIdle();
     /// Stops the event loop and joins the thread; to be called after the last request has ended.
     void stop();
 
@@ -33,6 +35,8 @@
 
 private:
     void accept(Yield yield);
+    void acceptArrived();
+    void startServing(TcpSocket socket);
     void serve(TcpSocket socket, Yield yield);
     void handle(CallerConnection &caller, Yield yield);
     void admit(CallerConnection &caller, const RouteMatch &match, TimePoint deadline, Yield yield);
--- a/test/processes/test_planned_stop.py
+++ b/test/processes/test_planned_stop.py
@@ -14,6 +14,8 @@
 GRACE_S = 6.0
 # The balancer still sends new connections for so long after the stop has begun.
 LATE_S = 2.0
+LISTENER_CLOSES_S = 2.6
+WAITING_CALLERS = 200
 # A refusal that nothing has to be waited for.
 AT_ONCE_S = 0.5
 
@@ -90,6 +92,22 @@
             self.assertEqual((status, headers["Connection"]), (200, "close"))
         self.assertEqual(self.entry.stop(), 0)
 
+    # Guards against callers that connect and send just before the listener closes, and are reset.
+    def test_requests_that_wait_at_the_listener_are_answered(self):
+        self.stop_entry()
+        began_at = time.monotonic()
+        time.sleep(LISTENER_CLOSES_S - 0.5)
+        self.entry.signal(signal.SIGSTOP)
+        callers = [self.connect() for _ in range(WAITING_CALLERS)]
+        for caller in callers:
+            caller.send(BOOK, "POST", b"b", deadline_ms=1_500)
+        time.sleep(began_at + LISTENER_CLOSES_S + 0.3 - time.monotonic())
+        self.entry.signal(signal.SIGCONT)
+        for caller in callers:
+            status, headers, _ = caller.read()
+            self.assertIn(status, (200, 503))
+            self.assertEqual(headers["Connection"], "close")
+
     # Guards against requests that were read during a planned stop and whose connection ends without
     # a response when one before them has got its own.
     def test_requests_behind_a_pending_one_are_answered(self):
