Planned stop: requests that wait for a target are refused, not cut at its end

A caller whose request had been read before SIGTERM and waited in the entry for a target, all targets being full, got no response: its connection ended at 5.5 s with the process.

Cause: whether a request may still start was asked before and after the wait for a target, not during it. On host routes the wait lasts a quarter of the route's latency objective, on the product's own routes until the deadline; both may outlast the stop. The wait for a body's room likewise. Class: the end of a planned stop drops what was accepted.

The waits now end when the stop begins, unless what waits would end in time; the request is refused as stopping, with 503 and not run, as one that comes later is.

Evidence: test_a_request_that_waits_for_a_target_is_refused_at_once failed before (the connection closed without a response) and passes; so PlannedStop aRequestThatWaitsForATargetIsRefusedAtOnce, which was still waiting after 10 s, and takes 0.05 s now. The wait for a body's room was changed by reading.

--- a/src/coordination/entry/Attempt.cpp
+++ b/src/coordination/entry/Attempt.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr unsigned firstServerError = 500;
+/// Between two checks whether a planned stop has begun, while a request waits for a target.
+constexpr Milliseconds stopCheckInterval { 50 };
 
 bool isServerError(const HttpResponse &response)
 {
@@ -233,13 +235,14 @@
             return nullptr;
         }
         ErrorCode ignored;
-        if (!waiter->woken) {
-            waiter->timer.expires_at(deadline);
+        while (!waiter->woken && Clock::now() < deadline && worker.hooks.mayStart(deadline)) {
+            waiter->timer.expires_at(std::min(deadline, Clock::now() + stopCheckInterval));
             waiter->timer.async_wait(yield[ignored]);
         }
         if (!waiter->woken) {
             service.runtime->dequeue(waiter);
-            reason = RefusalReason::overloaded;
+            const bool mayStart = worker.hooks.mayStart(deadline);
+            reason = mayStart ? RefusalReason::overloaded : RefusalReason::stopping;
             return nullptr;
         }
     }
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -371,7 +371,8 @@
 // While a body waits, its caller is held back by the connection's flow control.
 void EntryWorker::waitForRoom(std::size_t bytes, HeldRoom &held, TimePoint until, Yield yield)
 {
-    while (!held.tryGrowTo(bytes) && held.mayWaitFor(bytes) && Clock::now() < until) {
+    while (!held.tryGrowTo(bytes) && held.mayWaitFor(bytes) && Clock::now() < until
+           && core_.stop.mayStart(until)) {
         pauseFor(loop_, roomCheckInterval, yield);
     }
     held.dropClaim();
--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -133,7 +133,7 @@
 {
     const TimePoint objectiveBound = Clock::now() + route_.latencyObjective / placementWaitDivisor;
     const TimePoint until = std::min(objectiveBound, request_.deadline - minTimeLeft);
-    while (!group_->callerDisconnected) {
+    while (!group_->callerDisconnected && mayStart()) {
         refreshTargets();
         const bool lastTry = Clock::now() + placementRetryInterval >= until;
         const AcquiredTarget acquired = acquireBestTarget(request_, tried_, lastTry, yield);
--- a/test/correctness/PlannedStop.cpp
+++ b/test/correctness/PlannedStop.cpp
@@ -1,6 +1,6 @@
 // During a planned stop a request starts only if its deadline leaves time to deliver the response.
 #include "coordination/policy/PlannedStop.h"
-#include "TestSupport.h"
+#include "LoopbackTarget.h"
 
 using namespace kumquat;
 
@@ -40,3 +40,33 @@
     stop.begin(sigterm + Seconds(3), limit);
     CHECK_TRUE(stop.end() == sigterm + limit);
 }
+
+// Guards against requests that wait for a target when the stop begins, and are cut at its end.
+TEST(PlannedStop, aRequestThatWaitsForATargetIsRefusedAtOnce)
+{
+    asio::io_context loop { 1 };
+    EntryHooks hooks = test::idleHooks();
+    hooks.mayStart = [this](TimePoint deadline) { return stop.mayStart(deadline); };
+    Worker worker(loop, hooks, 1'000'000, 1);
+    test::LoopbackTarget server(loop,
+                                [](int, const std::string &) { return test::ResponseScript(); });
+    ActiveService service;
+    service.runtime = std::make_shared<ServiceRuntime>();
+    service.targets = { server.target() };
+    service.configuration.limits.queue = 1;
+    const Target &target = *service.targets.front();
+    while (target.stats->tryAcquire(service.inFlightLimitOf(target, Clock::now()))) { }
+    RefusalReason reason = RefusalReason::noTarget;
+    bool ended = false;
+    spawnOn(loop, [&](Yield yield) {
+        CHECK_FALSE(waitForTarget(worker, service, {}, Clock::now() + Seconds(60), reason, yield));
+        ended = true;
+        loop.stop();
+    });
+    loop.run_for(Milliseconds(20));
+    CHECK_FALSE(ended);
+    stop.begin(Clock::now(), limit);
+    loop.run_for(Seconds(10));
+    CHECK_TRUE(ended);
+    CHECK(reason == RefusalReason::stopping);
+}
--- a/test/processes/test_planned_stop.py
+++ b/test/processes/test_planned_stop.py
@@ -11,11 +11,13 @@
 BOOK = "/book/x"
 LONG_BOOK = "/long/x?work=8000000"  # microseconds; longer than a stop may take
 LONG_TIMEOUT = "20000ms"
+PATIENT_MS = 60_000
 GRACE_S = 6.0
 # The balancer still sends new connections for so long after the stop has begun.
 LATE_S = 2.0
 LISTENER_CLOSES_S = 2.6
 WAITING_CALLERS = 200
+MORE_THAN_SLOTS = 40
 # A refusal that nothing has to be waited for.
 AT_ONCE_S = 0.5
 
@@ -36,6 +38,15 @@
     return value
 
 
+def document_with_patient_route():
+    """Requests of the long route may also wait for a target for longer than a planned stop."""
+    value = document_with_long_route()
+    rule = value["Listeners"][0]["Rules"][2]
+    rule["TargetLatency"] = rule["Action"]["Timeout"] = f"{PATIENT_MS}ms"
+    value["Version"] = "00000003"
+    return value
+
+
 class PlannedStop(unittest.TestCase):
     def setUp(self):
         self.fleet = StoppedFleet(base=1960, entries=1)
@@ -92,6 +103,22 @@
             self.assertEqual((status, headers["Connection"]), (200, "close"))
         self.assertEqual(self.entry.stop(), 0)
 
+    # Guards against requests that wait for a target when the stop begins, and are cut at its end.
+    def test_a_request_that_waits_for_a_target_is_refused_at_once(self):
+        self.fleet.put_document(document_with_patient_route())
+        wait_until(lambda: self.fleet.metric(self.fleet.ready_addresses[0],
+                                             "kumquat_configuration_number") == 3, 10, "version 3")
+        callers = [self.connect() for _ in range(MORE_THAN_SLOTS)]
+        ids = [caller.send(LONG_BOOK, "POST", b"b", deadline_ms=PATIENT_MS) for caller in callers]
+        time.sleep(0.5)
+        waiting = [(caller, i) for caller, i in zip(callers, ids)
+                   if self.runs(i) == 0 and not caller.has_input()]
+        self.assertGreater(len(waiting), 0)
+        self.stop_entry()
+        began_at = time.monotonic()
+        for caller, request_id in waiting:
+            self.check_refused_at_once(caller, request_id, began_at)
+
     # Guards against callers that connect and send just before the listener closes, and are reset.
     def test_requests_that_wait_at_the_listener_are_answered(self):
         self.stop_entry()
