Members: a planned stop answers what it is confirming

An operator whose document, or a target whose departure, was under way when its member was stopped got no answer: the connection ended 0.3 s after SIGTERM, whatever had been accepted meanwhile. So did one whose document the member had passed on to the leader.

Cause: the event loop was stopped 300 ms after the signal, the time for handing over leadership, without a look at requests whose response was due. Class: the end of a planned stop drops what is due.

HttpServer counts the requests that it has read and not answered, long polls excepted. A member that stops waits for them, for at most 2.5 s, which is longer than any of them waits for a majority. It goes on receiving its peers' messages, without which nothing would be confirmed, and refuses documents, announcements and departures that come later with 503, so that their senders turn to another member.

Evidence: test_stopping_members; three of its six tests failed before (no answer to a document at the leader, to one passed on, to a departure, while the others stand still for 0.7 s) and pass.

--- a/src/coordination/control/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -15,6 +15,9 @@
 constexpr Milliseconds tickInterval { 20 };
 constexpr Milliseconds onceCommitTimeout { 2'000 };
 constexpr Milliseconds leadershipTransferTime { 300 };
+/// What a member that stops has under way ends by itself within this time.
+constexpr Milliseconds stopLimit { 2'500 };
+constexpr Milliseconds stopCheckInterval { 10 };
 constexpr Milliseconds maxPollWait { 5'000 };
 constexpr char leaderHeader[] = "Kumquat-Leader";
 
@@ -38,6 +41,11 @@
     return isInternal ? BodyLimit { maxInternalBytes, true } : BodyLimit();
 }
 
+bool isPoll(const http::request_header<> &header)
+{
+    return header.target() == wire::feedPath || header.target() == wire::configurationPath;
+}
+
 HttpResponse msgpackResponse(std::string body)
 {
     return textResponse(http::status::ok, std::move(body), "application/msgpack");
@@ -59,6 +67,7 @@
 {
     HttpServerLimits limits;
     limits.body = bodyLimitOf;
+    limits.isPoll = isPoll;
     server_ = std::make_shared<HttpServer>(
         loop_, [this](const HttpRequest &request, Yield yield) { return handle(request, yield); },
         limits);
@@ -155,12 +164,23 @@
     asio::post(loop_, [this] {
         spawnOn(loop_, [this](Yield yield) {
             pauseFor(loop_, leadershipTransferTime, yield);
+            awaitAnswers(yield);
             server_->stop();
             loop_.stop();
         });
     });
 }
 
+// Other members' messages are still received, since what is under way needs a majority.
+void ControlServer::awaitAnswers(Yield yield)
+{
+    refusesChanges_ = true;
+    const TimePoint end = Clock::now() + stopLimit;
+    do {
+        pauseFor(loop_, stopCheckInterval, yield);
+    } while (server_->unanswered() > 0 && Clock::now() < end);
+}
+
 void ControlServer::tickPeriodically(Yield yield)
 {
     while (true) {
@@ -200,7 +220,13 @@
     if (request.method() == http::verb::get && path == wire::metricsPath) {
         return textResponse(http::status::ok, metrics(), metricsContentType);
     }
-    if (registry_ && path.rfind(wire::targetsPath, 0) == 0) {
+    const bool isRead = request.method() == http::verb::get;
+    const bool isTarget = path.rfind(wire::targetsPath, 0) == 0;
+    if (refusesChanges_ && !isRead && (isTarget || path == wire::documentPath)) {
+        return textResponse(http::status::service_unavailable,
+                            "{\"error\":\"this member stops; send it to another\"}\n");
+    }
+    if (registry_ && isTarget) {
         return registry_->handleAnnouncement(request, yield);
     }
     if (registry_ && path == wire::documentPath) {
--- a/src/coordination/control/ControlServer.h
+++ b/src/coordination/control/ControlServer.h
@@ -44,6 +44,7 @@
         std::set<Timer *> waiting; ///< cancelled when there is a result
     };
 
+    void awaitAnswers(Yield yield);
     HttpResponse handle(const HttpRequest &request, Yield yield);
     HttpResponse handleRaft(const HttpRequest &request);
     HttpResponse handleOnce(const HttpRequest &request, Yield yield);
@@ -116,6 +117,7 @@
     std::map<std::string, EntryReport> entryReports_;
     std::map<std::uint64_t, std::shared_ptr<DocumentProposal>> documentProposals_; ///< by version
     std::uint64_t onceCalls_ = 0;
+    bool refusesChanges_ = false; ///< ends what it has under way before it stops
     ConfigurationVersion packedVersion_; ///< of `packedFiles_`
     std::uint64_t filesServed_ = 0;
     std::string packedFiles_; ///< response to a FilesRequest, packed once per version
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -132,15 +132,25 @@
         refuse(*stream, http::status::bad_request, yield);
         return false;
     }
+    const std::size_t due = limits_.isPoll(parser.get()) ? 0 : 1;
+    unanswered_ += due;
+    const bool keepsConnection = answerRequest(*stream, buffer, parser, yield);
+    unanswered_ -= due;
+    return keepsConnection;
+}
+
+bool HttpServer::answerRequest(TcpStream &stream, beast::flat_buffer &buffer, Parser &parser,
+                               Yield yield)
+{
     const BodyLimit limit = limits_.body(parser.get());
     ByteBudget &budget = limit.isInternal ? internalBytes_ : publicBytes_;
-    auto response = respond(*stream, buffer, parser, limit.bytes, budget, yield);
+    auto response = respond(stream, buffer, parser, limit.bytes, budget, yield);
     HeldBytes held(budget);
     if (response && !held.growTo(response->body().size())) {
-        refuse(*stream, http::status::service_unavailable, yield);
+        refuse(stream, http::status::service_unavailable, yield);
         return false;
     }
-    return response && write(*stream, std::move(*response), yield);
+    return response && write(stream, std::move(*response), yield);
 }
 
 // Reads the rest of a request and returns its response; nothing if the request was refused.
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -35,6 +35,9 @@
         = [](const http::request_header<> &) { return BodyLimit(); };
     std::size_t totalBodyBytes = 64 * 1024 * 1024; ///< of requests and responses, in each budget
     std::size_t connections = 2'000;
+    /// True for a request that holds its response back until something changes.
+    std::function<bool(const http::request_header<> &)> isPoll
+        = [](const http::request_header<> &) { return false; };
 };
 
 /// What a server has refused or cut, for metrics.
@@ -62,6 +65,9 @@
     /// Stops accepting and closes connections that wait for a request.
     void stop();
 
+    /// The requests whose header was read and whose response was not sent yet, polls excepted.
+    std::size_t unanswered() const { return unanswered_; }
+
     const HttpServerCounters &counters() const { return counters_; }
     /// The port that the server listens on.
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
@@ -73,6 +79,7 @@
     void serveConnection(const std::shared_ptr<TcpStream> &stream, Yield yield);
     bool serveRequest(const std::shared_ptr<TcpStream> &stream, beast::flat_buffer &buffer,
                       Yield yield);
+    bool answerRequest(TcpStream &stream, beast::flat_buffer &buffer, Parser &parser, Yield yield);
     ErrorCode readHeader(const std::shared_ptr<TcpStream> &stream, beast::flat_buffer &buffer,
                          Parser &parser, Yield yield);
     std::optional<http::status> readBody(TcpStream &stream, beast::flat_buffer &buffer,
@@ -92,6 +99,7 @@
     ByteBudget internalBytes_;
     HttpServerCounters counters_;
     std::size_t connections_ = 0;
+    std::size_t unanswered_ = 0;
     TcpAcceptor acceptor_;
     std::set<std::shared_ptr<TcpStream>> idleStreams_;
     bool stopping_ = false;
