Internal ports: a request that has arrived is answered before its connection is closed

A caller of a member, whose next request had arrived on a connection that it kept, lost it without an answer when the member stopped or the idle time ended at that moment, as after a pause of the process.

Cause: a connection that waited for a request was closed without a look at its input, and a pending read could have taken the request already. A connection that had been answered with keep-alive just before the stop was ended in the same way. Class: the end of a connection drops what has arrived.

The server waits until the socket is readable, so that bytes stay there until they are used, and closes a connection as idle only if none are there. A member that stops waits once more for what it so reads.

Evidence: ArrivedRequests onAnIdleConnectionWhenTheServerStops failed before and passes. The idle time after a pause was changed by the same means and has no test of its own.

--- a/src/coordination/control/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -166,6 +166,7 @@
             pauseFor(loop_, leadershipTransferTime, yield);
             awaitAnswers(yield);
             server_->stop();
+            awaitAnswers(yield);
             loop_.stop();
         });
     });
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -26,6 +26,20 @@
         && error.category() == ErrorCode(http::error::bad_method).category();
 }
 
+bool hasArrived(TcpStream &stream)
+{
+    char byte = 0;
+    return ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+// A request may have arrived together with the end of its time, when the process stood still.
+void closeIfIdle(TcpStream &stream)
+{
+    if (!hasArrived(stream)) {
+        stream.close();
+    }
+}
+
 } // namespace
 
 HttpResponse textResponse(http::status status, std::string body, const char *contentType)
@@ -80,7 +94,7 @@
     ErrorCode ignored;
     acceptor_.close(ignored);
     for (const auto &stream : idleStreams_) {
-        stream->close();
+        closeIfIdle(*stream);
     }
 }
 
@@ -110,7 +124,7 @@
 {
     ++connections_;
     beast::flat_buffer buffer(maxParsedBytes);
-    while (!stopping_ && serveRequest(stream, buffer, yield)) { }
+    while (serveRequest(stream, buffer, yield)) { }
     ErrorCode ignored;
     stream->socket().shutdown(TcpSocket::shutdown_send, ignored);
     --connections_;
@@ -171,16 +185,40 @@
     return response;
 }
 
+// Bytes stay in the socket until they are used: hasArrived() misses what a pending read has taken.
+ErrorCode HttpServer::awaitInput(const std::shared_ptr<TcpStream> &stream, Yield yield)
+{
+    if (stopping_ && !hasArrived(*stream)) {
+        return asio::error::operation_aborted;
+    }
+    const auto isWaiting = std::make_shared<bool>(true);
+    Timer timer(context_, idleTimeout);
+    timer.async_wait([stream, isWaiting](ErrorCode error) {
+        if (!error && *isWaiting) {
+            closeIfIdle(*stream);
+        }
+    });
+    ErrorCode error;
+    idleStreams_.insert(stream);
+    stream->socket().async_wait(TcpSocket::wait_read, yield[error]);
+    idleStreams_.erase(stream);
+    *isWaiting = false;
+    return error;
+}
+
 ErrorCode HttpServer::readHeader(const std::shared_ptr<TcpStream> &stream,
                                  beast::flat_buffer &buffer, Parser &parser, Yield yield)
 {
     ErrorCode error;
     parser.header_limit(maxHeaderBytes);
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    idleStreams_.insert(stream);
-    stream->expires_after(idleTimeout);
-    http::async_read_header(*stream, buffer, parser, yield[error]);
-    idleStreams_.erase(stream);
+    if (buffer.size() == 0) {
+        error = awaitInput(stream, yield);
+    }
+    if (!error) {
+        stream->expires_after(requestReadTimeout);
+        http::async_read_header(*stream, buffer, parser, yield[error]);
+    }
     return error;
 }
 
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -62,7 +62,7 @@
 
     absl::Status listen(const Address &address);
 
-    /// Stops accepting and closes connections that wait for a request.
+    /// Stops accepting and closes connections on which no request has arrived.
     void stop();
 
     /// The requests whose header was read and whose response was not sent yet, polls excepted.
@@ -80,6 +80,7 @@
     bool serveRequest(const std::shared_ptr<TcpStream> &stream, beast::flat_buffer &buffer,
                       Yield yield);
     bool answerRequest(TcpStream &stream, beast::flat_buffer &buffer, Parser &parser, Yield yield);
+    ErrorCode awaitInput(const std::shared_ptr<TcpStream> &stream, Yield yield);
     ErrorCode readHeader(const std::shared_ptr<TcpStream> &stream, beast::flat_buffer &buffer,
                          Parser &parser, Yield yield);
     std::optional<http::status> readBody(TcpStream &stream, beast::flat_buffer &buffer,
