Internal ports: input behind the last request cuts no response

A caller that read late and had sent more behind its last request got no response, or part of one.

Cause: after the last response the connection was closed with unread input, for which the system sends a reset and drops what the caller has not received. The same acts where a body is refused unread.

The server now reads and throws away what comes after its last response, until the other side closes, nothing came for 1 s, or for 30 s.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -1,11 +1,13 @@
 #include "transport/HttpServer.h"
 
+#include "common/Time.h"
 #include "kumquat/Error.h"
 #include "kumquat/Event.h"
 #include "transport/ParserLimits.h"
 #include "transport/RequestFraming.h"
 #include "transport/Spawn.h"
 
+#include <array>
 #include <sys/socket.h>
 
 namespace kumquat {
@@ -17,6 +19,8 @@
 constexpr std::chrono::seconds idleTimeout { 60 };
 constexpr std::chrono::seconds requestReadTimeout { 30 };
 constexpr std::chrono::seconds responseWriteTimeout { 30 };
+/// How long input is awaited and discarded after the last response of a connection.
+constexpr std::chrono::seconds lingerTime { 1 };
 /// After a failed accept, for example when the process has no file descriptor left.
 constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
 
@@ -40,6 +44,19 @@
     }
 }
 
+// Closing a socket with unread input sends a reset, as does later input. It may discard a response
+// that the peer has not received yet.
+void discardInput(TcpStream &stream, Yield yield)
+{
+    std::array<char, 4096> part {};
+    const TimePoint end = Clock::now() + responseWriteTimeout;
+    ErrorCode error;
+    while (!error && Clock::now() < end) {
+        stream.expires_after(lingerTime);
+        stream.async_read_some(asio::buffer(part), yield[error]);
+    }
+}
+
 } // namespace
 
 HttpResponse textResponse(http::status status, std::string body, const char *contentType)
@@ -127,6 +144,7 @@
     while (serveRequest(stream, buffer, yield)) { }
     ErrorCode ignored;
     stream->socket().shutdown(TcpSocket::shutdown_send, ignored);
+    discardInput(*stream, yield);
     --connections_;
 }
 
--- a/test/correctness/ArrivedRequests.cpp
+++ b/test/correctness/ArrivedRequests.cpp
@@ -130,3 +130,14 @@
     const std::string bytes = server.answerBy(testTimeout);
     CHECK_TRUE(bytes.find("HTTP/1.1 200", 1) != std::string::npos);
 }
+
+// Guards against a response that is cut where its reader is late and has sent more behind.
+TEST(ArrivedRequests, behindTheLastOneCutNoResponse)
+{
+    Server server;
+    server.caller->send(lastLongQuestion + std::string(longBytes, 'x'));
+    server.run(Milliseconds(200));
+    const std::string bytes = server.answerBy(testTimeout);
+    CHECK_TRUE(isAnswered(bytes));
+    CHECK_TRUE(bytes.size() > longBytes);
+}
