--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -134,7 +134,7 @@
 {
     const TimePoint objectiveBound = Clock::now() + route_.latencyObjective / placementWaitDivisor;
     const TimePoint until = std::min(objectiveBound, request_.deadline - minTimeLeft);
-    while (!group_->disconnected) {
+    while (!group_->disconnected && mayStart()) {
         refreshTargets();
         const bool lastTry = Clock::now() + placementRetryInterval >= until;
         const AcquiredTarget acquired = acquireBestTarget(request_, tried_, lastTry, yield);
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -1,11 +1,13 @@
 #include "transport/HttpServer.h"
 
+#include "common/Time.h"
 #include "kumquat/Error.h"
 #include "kumquat/Event.h"
 #include "transport/ParserLimits.h"
 #include "transport/RequestFraming.h"
 #include "transport/Spawn.h"
 
+#include <array>
 #include <sys/socket.h>
 
 namespace kumquat {
@@ -17,6 +19,8 @@
 constexpr std::chrono::seconds idleTimeout { 60 };
 constexpr std::chrono::seconds requestReadTimeout { 30 };
 constexpr std::chrono::seconds responseWriteTimeout { 30 };
+/// How long input is awaited and discarded after the last response of a connection.
+constexpr std::chrono::seconds lingerTime { 1 };
 /// After a failed accept, for example when the process has no file descriptor left.
 constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
 
@@ -26,6 +30,33 @@
         && error.category() == ErrorCode(http::error::bad_method).category();
 }
 
+bool hasArrived(TcpStream &stream)
+{
+    char byte = 0;
+    return ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+// A request may have arrived together with the end of its time, when the process stood still.
+void closeIfIdle(TcpStream &stream)
+{
+    if (!hasArrived(stream)) {
+        stream.close();
+    }
+}
+
+// Closing a socket with unread input sends a reset, as does later input. It may discard a response
+// that the peer has not received yet.
+void discardInput(TcpStream &stream, Yield yield)
+{
+    std::array<char, 4096> part {};
+    const TimePoint end = Clock::now() + responseWriteTimeout;
+    ErrorCode error;
+    while (!error && Clock::now() < end) {
+        stream.expires_after(lingerTime);
+        stream.async_read_some(asio::buffer(part), yield[error]);
+    }
+}
+
 } // namespace
 
 HttpResponse textResponse(http::status status, std::string body, const char *contentType)
@@ -80,7 +111,7 @@
     ErrorCode ignored;
     acceptor_.close(ignored);
     for (const auto &stream : idleStreams_) {
-        stream->close();
+        closeIfIdle(*stream);
     }
 }
 
@@ -110,9 +141,10 @@
 {
     ++connections_;
     beast::flat_buffer buffer(maxParsedBytes);
-    while (!stopping_ && serveRequest(stream, buffer, yield)) { }
+    while (serveRequest(stream, buffer, yield)) { }
     ErrorCode ignored;
     stream->socket().shutdown(TcpSocket::shutdown_send, ignored);
+    discardInput(*stream, yield);
     --connections_;
 }
 
@@ -132,15 +164,25 @@
         refuse(*stream, http::status::bad_request, yield);
         return false;
     }
+    const std::size_t due = limits_.isPoll(parser.get()) ? 0 : 1;
+    unanswered_ += due;
+    const bool keepsConnection = answerRequest(*stream, buffer, parser, yield);
+    unanswered_ -= due;
+    return keepsConnection;
+}
+
+bool HttpServer::answerRequest(TcpStream &stream, beast::flat_buffer &buffer, Parser &parser,
+                               Yield yield)
+{
     const BodyLimit limit = limits_.body(parser.get());
     ByteBudget &budget = limit.isInternal ? internalBytes_ : publicBytes_;
-    auto response = respond(*stream, buffer, parser, limit.bytes, budget, yield);
+    auto response = respond(stream, buffer, parser, limit.bytes, budget, yield);
     HeldBytes held(budget);
     if (response && !held.growTo(response->body().size())) {
-        refuse(*stream, http::status::service_unavailable, yield);
+        refuse(stream, http::status::service_unavailable, yield);
         return false;
     }
-    return response && write(*stream, std::move(*response), yield);
+    return response && write(stream, std::move(*response), yield);
 }
 
 // Reads the rest of a request and returns its response; nothing if the request was refused.
@@ -161,16 +203,40 @@
     return response;
 }
 
+// Bytes stay in the socket until they are used: hasArrived() misses what a pending read has taken.
+ErrorCode HttpServer::awaitInput(const std::shared_ptr<TcpStream> &stream, Yield yield)
+{
+    if (stopping_ && !hasArrived(*stream)) {
+        return asio::error::operation_aborted;
+    }
+    const auto isWaiting = std::make_shared<bool>(true);
+    Timer timer(context_, idleTimeout);
+    timer.async_wait([stream, isWaiting](ErrorCode error) {
+        if (!error && *isWaiting) {
+            closeIfIdle(*stream);
+        }
+    });
+    ErrorCode error;
+    idleStreams_.insert(stream);
+    stream->socket().async_wait(TcpSocket::wait_read, yield[error]);
+    idleStreams_.erase(stream);
+    *isWaiting = false;
+    return error;
+}
+
 ErrorCode HttpServer::readHeader(const std::shared_ptr<TcpStream> &stream,
                                  beast::flat_buffer &buffer, Parser &parser, Yield yield)
 {
     ErrorCode error;
     parser.header_limit(maxHeaderBytes);
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    idleStreams_.insert(stream);
-    stream->expires_after(idleTimeout);
-    http::async_read_header(*stream, buffer, parser, yield[error]);
-    idleStreams_.erase(stream);
+    if (buffer.size() == 0) {
+        error = awaitInput(stream, yield);
+    }
+    if (!error) {
+        stream->expires_after(requestReadTimeout);
+        http::async_read_header(*stream, buffer, parser, yield[error]);
+    }
     return error;
 }
 
