Uploads: an early response reaches the caller though its target reads no more

A caller of the product's own interface whose upload was answered early, by a target that then read no more and kept its connection open, got 502 and an unknown outcome after uploadIdleTimeout in place of the target's response, here a 413.

Cause: whether the target had responded was asked between two parts of the body, not while a part was being sent. The timer that ended the sending closed the connection, and the response with it. Class: a timer of writing takes along what has arrived.

While a part is being sent, the target's input is awaited as well; a response that begins ends the sending and is relayed, as between two parts.

Evidence: UploadsAnswered anEarlyResponseIsRelayedWhenTheTargetReadsNoMore failed before (502 after 2 s) and passes; the other tests of the group pass.

--- a/src/protocol/TargetConnection.cpp
+++ b/src/protocol/TargetConnection.cpp
@@ -101,13 +101,31 @@
     streamedRequest_->body().data = part.empty() ? nullptr : const_cast<char *>(part.data());
     streamedRequest_->body().size = part.size();
     streamedRequest_->body().more = !last;
+    inputWatch_->isSending = true;
+    cancelSendingOnResponse();
     http::async_write(stream_, *serializer_, yield[error]);
+    inputWatch_->isSending = false;
     if (error == http::error::need_buffer) {
         error = {};
     }
     return error;
 }
 
+// A target that responds early may stay open and read no more.
+void TargetConnection::cancelSendingOnResponse()
+{
+    if (inputWatch_->isPending) {
+        return;
+    }
+    inputWatch_->isPending = true;
+    stream_.socket().async_wait(TcpSocket::wait_read, [this, watch = inputWatch_](ErrorCode error) {
+        watch->isPending = false;
+        if (!error && watch->isSending && hasResponse()) {
+            stream_.cancel();
+        }
+    });
+}
+
 ErrorCode TargetConnection::readHeader(bool isHeadRequest, Yield yield)
 {
     ErrorCode error;
--- a/src/protocol/TargetConnection.h
+++ b/src/protocol/TargetConnection.h
@@ -29,6 +29,7 @@
     /// \p length the body is chunked.
     ErrorCode sendHeader(http::request_header<> requestHeader, std::optional<std::uint64_t> length,
                          Yield yield);
+    /// Fails when the target responds before it has taken the part.
     ErrorCode sendBodyPart(const std::string &part, bool last, Yield yield);
 
     /// Reads the response's header; interim (1xx) responses are skipped.
@@ -59,7 +60,15 @@
     bool isUnused() const { return requestsSent_ == 0; }
 
 private:
+    /// Whether a body part is being sent, and input awaited meanwhile; outlives the connection.
+    struct InputWatch
+    {
+        bool isSending = false;
+        bool isPending = false;
+    };
+
     bool skipInterim();
+    void cancelSendingOnResponse();
 
     using Parser = http::response_parser<http::buffer_body>;
 
@@ -71,6 +80,7 @@
     std::optional<http::request_serializer<http::buffer_body>> serializer_;
     TimePoint lastResponseAt_; ///< of the connecting when there was no response yet
     int requestsSent_ = 0;
+    std::shared_ptr<InputWatch> inputWatch_ = std::make_shared<InputWatch>();
 };
 
 } // namespace kumquat
--- a/test/correctness/UploadsAnswered.cpp
+++ b/test/correctness/UploadsAnswered.cpp
@@ -10,6 +10,7 @@
 constexpr Milliseconds shortTimeout { 50 };
 constexpr Milliseconds longTimeout { 60'000 };
 constexpr Seconds testTimeout { 20 };
+constexpr std::size_t longBodyBytes = 32 * 1024 * 1024; // more than sockets hold
 const std::string refusedEarly = "HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nearly";
 
 std::string uploadHeader(std::size_t length)
@@ -166,6 +167,27 @@
     checkContains(received, "HTTP/1.1 413");
 }
 
+// Guards against a response that is lost since its target reads no more and stays open.
+TEST(UploadsAnswered, anEarlyResponseIsRelayedWhenTheTargetReadsNoMore)
+{
+    service->configuration.uploadIdleTimeout = Seconds(2);
+    TcpAcceptor targetAcceptor(loop, TcpEndpoint(asio::ip::address_v4::loopback(), 0));
+    TcpSocket silent(loop);
+    const std::string received
+        = upload(targetAt(targetAcceptor), [&](TcpSocket &caller, Yield yield) {
+              send(caller, uploadHeader(longBodyBytes));
+              spawnOn(loop, [&](Yield inner) {
+                  ErrorCode error;
+                  const std::string body(longBodyBytes, 'b');
+                  asio::async_write(caller, asio::buffer(body), inner[error]);
+              });
+              silent = acceptAndRead(targetAcceptor, "\r\n\r\n", yield);
+              pauseFor(loop, Milliseconds(500), yield);
+              send(silent, refusedEarly);
+          });
+    checkContains(received, "HTTP/1.1 413");
+}
+
 // Guards against an upload that is given up at an interim response.
 TEST(UploadsAnswered, anInterimResponseEndsNoUpload)
 {
