Exceptions end only the work that threw them

What callers saw: an entry that cannot allocate the stack of one coroutine ended (SIGABRT, "terminate called after throwing an instance of 'std::bad_alloc'"), and all its kept connections with the requests that it had passed on: no response to any of them.

Cause: spawnOn() started every coroutine without a handler of exceptions, so one that was thrown in an attempt, a probe, a feed or a listener left io_context::run() and ended the process. Starting a coroutine could throw too, in the middle of the listener's loop.

Evidence: test_without_memory (test_exhausted_entry.py) on the code before: RemoteDisconnected on a connection whose lookup ran at its target, the entry's exit code -6. Seven unit tests of ExceptionsContained, each run alone on the code before: exit code 134 with "terminate called", what(): "nobody expects this". The three on loops, handlers and forced unwinding use functions that were not there before. test_without_descriptors passed before: running out of descriptors ended no entry. Since the change all ten pass.

Why this works: contain() is the one place that catches; it logs event 500 and counts kumquat_exceptions_contained_total. spawnOn() calls the owner's `ended` however a coroutine ends, also when it cannot be started: an attempt then counts as failed (not sent, if no connection was there yet), its target's slot is given back, a probe ends its round, a connection makes room. Loops go on with repeatOn(), event loops with runLoop(). Forced unwinding is no std::exception and passes. A feed acknowledges a response only after it was taken. A concurrent send ends before its exchange does.

A control member still ends when its ticks or what follows its disk's work throw: its state may be half changed then.

runOn() of the tests now checks that its function returned, since an exception in it no longer ends the test.

--- /dev/null
+++ b/src/common/Containment.cpp
@@ -0,0 +1,26 @@
+#include "common/Containment.h"
+
+#include "kumquat/Event.h"
+
+#include <atomic>
+
+namespace kumquat {
+
+namespace {
+
+std::atomic<std::uint64_t> reported { 0 };
+
+} // namespace
+
+void reportException(const char *what)
+{
+    ++reported;
+    logEvent(Event::handlerFailed, LogLevel::error, "{}", what);
+}
+
+std::uint64_t reportedExceptions()
+{
+    return reported;
+}
+
+} // namespace kumquat
--- a/src/coordination/consensus/PeerLinks.cpp
+++ b/src/coordination/consensus/PeerLinks.cpp
@@ -34,7 +34,9 @@
     link.queuedBytes += bytes;
     if (!link.sending) {
         link.sending = true;
-        spawnOn(context_, [this, address](Yield yield) { sendQueued(address, yield); });
+        spawnOn(
+            context_, [this, address](Yield yield) { sendQueued(address, yield); },
+            [this, address] { links_[address].sending = false; });
     }
 }
 
@@ -74,7 +76,6 @@
             link.queuedBytes = 0;
         }
     }
-    link.sending = false;
 }
 
 } // namespace kumquat
--- a/src/coordination/control/ControlOperations.cpp
+++ b/src/coordination/control/ControlOperations.cpp
@@ -58,7 +58,7 @@
 {
     auto promise = std::make_shared<std::promise<Json::Value>>();
     auto future = promise->get_future();
-    asio::post(loop_, [promise, function] { promise->set_value(function()); });
+    asio::post(loop_, [promise, function] { contain([&] { promise->set_value(function()); }); });
     return waitFor(future);
 }
 
@@ -252,6 +252,7 @@
     page.counter("control_requests_oversized_total", {},
                  static_cast<double>(server.oversizedRequests));
     page.counter("control_handler_failures_total", {}, static_cast<double>(server.handlerFailures));
+    page.counter("exceptions_contained_total", {}, static_cast<double>(reportedExceptions()));
     page.gauge("control_once_records", {}, static_cast<double>(node_->state().once().size()));
     if (registry_) {
         const TargetCache &cache = registry_->cache();
--- a/src/coordination/control/ControlServer.cpp
+++ b/src/coordination/control/ControlServer.cpp
@@ -3,6 +3,7 @@
 #include "common/JsonReader.h"
 #include "common/MetricsPage.h"
 #include "coordination/control/ControlClient.h"
+#include "kumquat/Error.h"
 #include "kumquat/Event.h"
 #include "protocol/Codec.h"
 #include "protocol/Wire.h"
@@ -140,8 +141,12 @@
     const auto diskWork = asio::make_work_guard(diskLoop_);
     const auto rpcWork = asio::make_work_guard(rpcLoop_);
     std::thread diskThread([this] { diskLoop_.run(); });
-    std::thread rpcThread([this] { rpcLoop_.run(); });
-    spawnOn(loop_, [this](Yield yield) { tickPeriodically(yield); });
+    std::thread rpcThread([this] { runLoop(rpcLoop_); });
+    spawnOn(
+        loop_, [this](Yield yield) { tickPeriodically(yield); },
+        [] { KUMQUAT_ASSERT(false, "the ticks ended; event 500 above says why"); });
+    // A member whose state is half changed must not take part: an exception in its ticks or in what
+    // follows its disk's work ends the process.
     loop_.run();
     rpcLoop_.stop();
     rpcThread.join();
@@ -380,7 +385,7 @@
     const auto timer = std::make_shared<Timer>(loop_, TimePoint::max());
     const auto responseBody = std::make_shared<std::string>();
     asio::post(rpcLoop_, [this, timer, responseBody, body = request.body()] {
-        *responseBody = rpc_->handle(body);
+        contain([&] { *responseBody = rpc_->handle(body); });
         asio::post(loop_, [timer] { timer->cancel(); });
     });
     ErrorCode ignored;
--- a/src/coordination/control/TargetCache.cpp
+++ b/src/coordination/control/TargetCache.cpp
@@ -79,13 +79,13 @@
 
 void TargetCache::startWrite()
 {
-    isWriting_ = true;
-    isFlushRequested_ = false;
     lastWriteAt_ = hooks_.now();
     const bool replaces = mustCompact();
     const std::uint64_t cursor = feed_.cursor();
     const auto bytes = std::make_shared<const std::string>(
         framedItems(feed_.itemsAfter(replaces ? 0 : storedCursor_, lastWriteAt_)));
+    isWriting_ = true;
+    isFlushRequested_ = false;
     hooks_.runDiskWork(
         [this, bytes, replaces] {
             if (replaces) {
--- a/src/coordination/entry/Attempt.cpp
+++ b/src/coordination/entry/Attempt.cpp
@@ -1,5 +1,6 @@
 #include "coordination/entry/Attempt.h"
 
+#include "common/Containment.h"
 #include "protocol/Headers.h"
 #include "protocol/Wire.h"
 
@@ -123,6 +124,40 @@
     }
 }
 
+// Ends the attempt but for its count at the target.
+AttemptResult exchange(Worker &worker, const ActiveService &service, const TargetPtr &target,
+                       const HttpRequest &request, const AttemptOptions &options,
+                       AttemptHandle &handle, Yield yield)
+{
+    const TimePoint start = Clock::now();
+    AttemptResult result;
+    result.target = target;
+    ErrorCode error;
+    std::unique_ptr<TargetConnection> connection
+        = connectTo(worker, *target, options, handle, yield);
+    if (connection) {
+        result.outcome
+            = sendAndReceive(*connection, request, options, result.response, error, yield);
+    }
+    handle.connection = nullptr;
+    if (!handle.cancelled) {
+        recordOutcome(worker, service, *target, options, result, error, Clock::now() - start);
+    }
+    if (connection && result.outcome == AttemptOutcome::timedOut) {
+        dropIdleIfSilent(worker, *target, *connection);
+    }
+    stripSystemHeaders(result.response);
+    if (result.outcome == AttemptOutcome::streaming) {
+        result.connection = std::move(connection);
+        return result;
+    }
+    const bool attributed = result.outcome != AttemptOutcome::unprovenShed;
+    if (connection && attributed && connection->isReusable()) {
+        worker.pool.giveBack(std::move(connection));
+    }
+    return result;
+}
+
 } // namespace
 
 bool provesNotRun(AttemptOutcome outcome)
@@ -174,33 +209,15 @@
                          const HttpRequest &request, const AttemptOptions &options,
                          AttemptHandle &handle, Yield yield)
 {
-    const TimePoint start = Clock::now();
+    // An attempt that an exception ends may have run the request.
     AttemptResult result;
+    result.outcome = AttemptOutcome::failed;
     result.target = target;
-    ErrorCode error;
-    std::unique_ptr<TargetConnection> connection
-        = connectTo(worker, *target, options, handle, yield);
-    if (connection) {
-        result.outcome
-            = sendAndReceive(*connection, request, options, result.response, error, yield);
-    }
+    contain([&] { result = exchange(worker, service, target, request, options, handle, yield); });
     handle.connection = nullptr;
-    if (!handle.cancelled) {
-        recordOutcome(worker, service, *target, options, result, error, Clock::now() - start);
-    }
-    if (connection && result.outcome == AttemptOutcome::timedOut) {
-        dropIdleIfSilent(worker, *target, *connection);
-    }
-    stripSystemHeaders(result.response);
-    if (result.outcome == AttemptOutcome::streaming) {
-        result.connection = std::move(connection);
-        return result;
-    }
-    const bool attributed = result.outcome != AttemptOutcome::unprovenShed;
-    if (connection && attributed && connection->isReusable()) {
-        worker.pool.giveBack(std::move(connection));
+    if (result.outcome != AttemptOutcome::streaming) {
+        releaseTarget(service, *target);
     }
-    releaseTarget(service, *target);
     return result;
 }
 
--- a/src/coordination/entry/EntryConfiguration.cpp
+++ b/src/coordination/entry/EntryConfiguration.cpp
@@ -39,25 +39,23 @@
 
 } // namespace
 
-void EntryCoordinator::followConfiguration(Yield yield)
+bool EntryCoordinator::followConfiguration(Yield yield)
 {
-    while (true) {
-        ConfigurationPoll poll { settings_.name, version_.epoch, version_.number,
-                                 pollWait.count() };
-        const auto update = control_.pollConfiguration(poll, pollTimeout, yield);
-        if (update.ok() != controlReachable_) {
-            controlReachable_ = update.ok();
-            if (!controlReachable_) {
-                logEvent(Event::controlUnreachable, LogLevel::warning, "{}",
-                         std::string(update.status().message()));
-            }
-        }
-        if (update.ok() && update->has_value()) {
-            applyConfiguration(**update);
-        } else if (!update.ok()) {
-            pauseFor(loop_, pollRetryDelay, yield);
+    ConfigurationPoll poll { settings_.name, version_.epoch, version_.number, pollWait.count() };
+    const auto update = control_.pollConfiguration(poll, pollTimeout, yield);
+    if (update.ok() != controlReachable_) {
+        controlReachable_ = update.ok();
+        if (!controlReachable_) {
+            logEvent(Event::controlUnreachable, LogLevel::warning, "{}",
+                     std::string(update.status().message()));
         }
     }
+    if (update.ok() && update->has_value()) {
+        applyConfiguration(**update);
+    } else if (!update.ok()) {
+        pauseFor(loop_, pollRetryDelay, yield);
+    }
+    return true;
 }
 
 void EntryCoordinator::applyConfiguration(const ConfigurationUpdate &update)
@@ -97,13 +95,19 @@
     wantedVersionMember_ = member;
     if (!fetchInProgress_) {
         fetchInProgress_ = true;
-        spawnOn(loop_, [this](Yield yield) { fetchConfiguration(yield); });
+        spawnOn(
+            loop_,
+            [this](Yield yield) {
+                repeatOn(
+                    loop_, [&] { return fetchConfiguration(yield); }, yield);
+            },
+            [this] { fetchInProgress_ = false; });
     }
 }
 
 // A version that could not be fetched is forgotten, so that the next response of any member
-// advertises it again. One that was fetched but is invalid is not fetched again.
-void EntryCoordinator::fetchConfiguration(Yield yield)
+// advertises it again. One that was fetched but is invalid is not fetched again. Returns false.
+bool EntryCoordinator::fetchConfiguration(Yield yield)
 {
     for (int round = 1; version_ < wantedVersion_; ++round) {
         const ConfigurationVersion requested = wantedVersion_;
@@ -121,7 +125,7 @@
         }
         round = hasFailed ? round : 0;
     }
-    fetchInProgress_ = false;
+    return false;
 }
 
 // The members' open polls name this version as known, so no member advertises it again before they
--- a/src/coordination/entry/EntryCoordinator.cpp
+++ b/src/coordination/entry/EntryCoordinator.cpp
@@ -129,16 +129,24 @@
 {
     lastTickAt_ = bootClockNow();
     core_.recordTick();
-    spawnOn(loop_, [this](Yield yield) { runTicks(yield); });
+    repeat(&EntryCoordinator::tick);
     if (followsFeed()) {
         feed_->setSeeds(settings_.controlSeeds);
         if (reportSharing_) {
-            spawnOn(loop_, [this](Yield yield) { runReportSharing(yield); });
+            repeat(&EntryCoordinator::shareReports);
         }
     } else {
-        spawnOn(loop_, [this](Yield yield) { followConfiguration(yield); });
+        repeat(&EntryCoordinator::followConfiguration);
     }
-    thread_ = std::thread([this] { loop_.run(); });
+    thread_ = std::thread([this] { runLoop(loop_); });
+}
+
+void EntryCoordinator::repeat(bool (EntryCoordinator::*step)(Yield))
+{
+    spawnOn(loop_, [this, step](Yield yield) {
+        repeatOn(
+            loop_, [&] { return (this->*step)(yield); }, yield);
+    });
 }
 
 void EntryCoordinator::stop()
@@ -258,29 +266,28 @@
     return *acknowledged;
 }
 
-void EntryCoordinator::runTicks(Yield yield)
+bool EntryCoordinator::tick(Yield yield)
 {
-    for (int tick = 0;; ++tick) {
-        pauseFor(loop_, Gossip::tickInterval, yield);
-        const TimePoint now = Clock::now();
-        detectProcessPause(now);
-        if (!followsFeed()) {
-            gossip_->tick(now);
-        }
-        updateEjections(now);
-        if (tick % ticksPerLeaseCheck == 0) {
-            if (followsFeed()) {
-                reloadSettings();
-            } else {
-                checkLeases(now);
-            }
-            targets_.removeExpired(now);
-        }
-        if (!refreshPending_ && gossip_->isRefreshed()) {
-            core_.recordTick();
+    pauseFor(loop_, Gossip::tickInterval, yield);
+    const TimePoint now = Clock::now();
+    detectProcessPause(now);
+    if (!followsFeed()) {
+        gossip_->tick(now);
+    }
+    updateEjections(now);
+    if (ticks_++ % ticksPerLeaseCheck == 0) {
+        if (followsFeed()) {
+            reloadSettings();
+        } else {
+            checkLeases(now);
         }
-        lastTickAt_ = bootClockNow();
+        targets_.removeExpired(now);
     }
+    if (!refreshPending_ && gossip_->isRefreshed()) {
+        core_.recordTick();
+    }
+    lastTickAt_ = bootClockNow();
+    return true;
 }
 
 // A process that was paused resumes with an outdated view. New requests are refused until a peer
@@ -342,7 +349,9 @@
         lease.probing = true;
         lease.lastProbeAt = now;
         ++healthProbesSent_;
-        spawnOn(loop_, [this, record](Yield inner) { probeHealth(record, inner); });
+        spawnOn(
+            loop_, [this, record](Yield inner) { probeHealth(record, inner); },
+            [this, name = record.name] { leases_[name].probing = false; });
     }
 }
 
@@ -353,7 +362,6 @@
         = probeClient_.send({ record.ip, record.port }, request, healthProbeTimeout, yield);
     const TimePoint now = Clock::now();
     Lease &lease = leases_[record.name];
-    lease.probing = false;
     if (response.ok() && response->result() == http::status::ok) {
         lease.lastHeardAt = now;
         setReachable(record, true, true);
@@ -449,11 +457,15 @@
         return;
     }
     publishScheduled_ = true;
-    spawnOn(loop_, [this](Yield yield) {
-        pauseFor(loop_, publishDelay, yield);
-        publishScheduled_ = false;
-        publishNow();
-    });
+    repeat(&EntryCoordinator::publishSoon);
+}
+
+bool EntryCoordinator::publishSoon(Yield yield)
+{
+    pauseFor(loop_, publishDelay, yield);
+    publishScheduled_ = false;
+    publishNow();
+    return false;
 }
 
 void EntryCoordinator::publishNow()
--- a/src/coordination/entry/EntryCoordinator.h
+++ b/src/coordination/entry/EntryCoordinator.h
@@ -56,7 +56,9 @@
     HttpResponse applyAnnouncement(const TargetRecord &record, Yield yield);
     bool waitForPropagation(const TargetRecord &record, Yield yield);
 
-    void runTicks(Yield yield);
+    /// Calls \p step again and again until it returns false.
+    void repeat(bool (EntryCoordinator::*step)(Yield));
+    bool tick(Yield yield);
     void detectProcessPause(TimePoint now);
     void updateEjections(TimePoint now);
     void checkLeases(TimePoint now);
@@ -69,7 +71,7 @@
     void applyFeedResponse(const std::string &member, const FeedResponse &response);
     void updateMemberReachability(const std::string &member, bool reachable);
     absl::Status openReportSharing();
-    void runReportSharing(Yield yield);
+    bool shareReports(Yield yield);
     void updateReportAddresses(const std::string &member, const FeedResponse &response);
     void updateReportPeers();
     void markSubset(ActiveService &service);
@@ -81,15 +83,16 @@
     void reloadSettings();
 
     // Configuration: polled from the leader, or fetched when a member advertises a newer version.
-    void followConfiguration(Yield yield);
+    bool followConfiguration(Yield yield);
     void handleAdvertisedVersion(const std::string &member, const FeedResponse &response);
-    void fetchConfiguration(Yield yield);
+    bool fetchConfiguration(Yield yield);
     absl::StatusOr<ConfigurationUpdate> fetchConfigurationFiles(Yield yield);
     absl::StatusOr<ConfigurationUpdate> fetchFilesFrom(const std::string &member, Yield yield);
     void applyConfiguration(const ConfigurationUpdate &update);
     void buildHostRoutes();
     /// Publishes a new routing table after a short delay, so that concurrent changes share one.
     void schedulePublish();
+    bool publishSoon(Yield yield);
     void publishNow();
     using ServiceTargets = std::unordered_map<std::string, std::vector<TargetPtr>>;
 
@@ -148,6 +151,7 @@
     std::uint64_t healthProbesSent_ = 0;
     std::uint64_t healthProbesThrottled_ = 0;
     TimePoint lastTickAt_; ///< of the boot clock
+    int ticks_ = 0;
     bool publishScheduled_ = false;
     bool refreshPending_ = false; ///< resumed after a process pause and not yet up to date
     std::thread thread_;
--- a/src/coordination/entry/EntryFeed.cpp
+++ b/src/coordination/entry/EntryFeed.cpp
@@ -54,12 +54,11 @@
     });
 }
 
-void EntryCoordinator::runReportSharing(Yield yield)
+bool EntryCoordinator::shareReports(Yield yield)
 {
-    while (true) {
-        pauseFor(loop_, LoadReportSharing::sendInterval, yield);
-        reportSharing_->sendReports(Clock::now());
-    }
+    pauseFor(loop_, LoadReportSharing::sendInterval, yield);
+    reportSharing_->sendReports(Clock::now());
+    return true;
 }
 
 // A response lists the entries only when the list has changed.
--- a/src/coordination/entry/EntryStatus.cpp
+++ b/src/coordination/entry/EntryStatus.cpp
@@ -1,4 +1,5 @@
 // The state dump and the metrics of an entry, for operators.
+#include "common/Containment.h"
 #include "common/JsonReader.h"
 #include "common/MetricsPage.h"
 #include "coordination/entry/EntryCoordinator.h"
@@ -122,6 +123,7 @@
     page.gauge("caller_connections", {}, core_.connections.load());
     page.counter("unrouted_total", {}, static_cast<double>(core_.unrouted.load()));
     page.counter("handler_failures_total", {}, static_cast<double>(core_.handlerFailures.load()));
+    page.counter("exceptions_contained_total", {}, static_cast<double>(reportedExceptions()));
     for (int cause = 0; cause < dropCauseCount; ++cause) {
         const auto dropped = core_.droppedResponses[static_cast<std::size_t>(cause)].load();
         page.counter("responses_dropped_total",
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -34,6 +34,19 @@
     return error.category() == ErrorCode(http::error::bad_method).category();
 }
 
+/// Ends the count of an admitted request, however it ends.
+class Admission
+{
+public:
+    explicit Admission(ServiceRuntime &runtime) : runtime_(runtime) { }
+    ~Admission() { runtime_.leave(); }
+    Admission(const Admission &) = delete;
+    Admission &operator=(const Admission &) = delete;
+
+private:
+    ServiceRuntime &runtime_;
+};
+
 std::string pathOf(const http::request_header<> &header)
 {
     const std::string target(header.target());
@@ -53,14 +66,17 @@
 {
     const absl::Status opened = openAcceptor(acceptor_, address, true);
     if (opened.ok()) {
-        spawnOn(loop_, [this](Yield yield) { accept(yield); });
+        spawnOn(loop_, [this](Yield yield) {
+            repeatOn(
+                loop_, [this, yield] { return accept(yield); }, yield);
+        });
     }
     return opened;
 }
 
 void EntryWorker::start()
 {
-    thread_ = std::thread([this] { loop_.run(); });
+    thread_ = std::thread([this] { runLoop(loop_); });
 }
 
 void EntryWorker::drain()
@@ -83,43 +99,43 @@
     }
 }
 
-void EntryWorker::accept(Yield yield)
+// Returns false when the listener is closed.
+bool EntryWorker::accept(Yield yield)
 {
-    while (acceptor_.is_open()) {
-        TcpSocket socket(loop_);
-        ErrorCode error;
-        acceptor_.async_accept(socket, yield[error]);
-        if (error) {
-            pauseFor(loop_, acceptRetryDelay, yield);
-            continue;
-        }
-        if (core_.connections.load() >= maxConnections_) {
-            continue;
-        }
-        ++core_.connections;
-        spawnOn(loop_,
-                [this, socket = std::make_shared<TcpSocket>(std::move(socket))](Yield inner) {
-                    serve(std::move(*socket), inner);
-                    --core_.connections;
-                });
+    TcpSocket socket(loop_);
+    ErrorCode error;
+    acceptor_.async_accept(socket, yield[error]);
+    if (error) {
+        pauseFor(loop_, acceptRetryDelay, yield);
+    } else if (core_.connections.load() < maxConnections_) {
+        socket.set_option(asio::ip::tcp::no_delay(true), error);
+        addCaller(std::make_shared<CallerConnection>(loop_, std::move(socket)));
     }
+    return acceptor_.is_open();
 }
 
-void EntryWorker::serve(TcpSocket socket, Yield yield)
+void EntryWorker::addCaller(const std::shared_ptr<CallerConnection> &caller)
 {
-    ErrorCode ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    const auto caller = std::make_shared<CallerConnection>(loop_, std::move(socket));
     callers_.insert(caller);
+    ++core_.connections;
+    spawnOn(
+        loop_, [this, caller](Yield yield) { serve(*caller, yield); },
+        [this, caller] {
+            callers_.erase(caller);
+            --core_.connections;
+        });
+}
+
+void EntryWorker::serve(CallerConnection &caller, Yield yield)
+{
     CallerHooks hooks;
     hooks.isStopping = [this] { return core_.stop.hasBegun(); };
     hooks.limits = [this] { return core_.routing.read()->callerLimits; };
     hooks.handlerFailed = [this](const char *what) { reportFailure(what); };
     hooks.responsesDropped
         = [this](DropCause cause, std::size_t count) { reportDropped(cause, count); };
-    caller->serve([this](CallerConnection &connection, Yield inner) { handle(connection, inner); },
-                  std::move(hooks), yield);
-    callers_.erase(caller);
+    caller.serve([this](CallerConnection &connection, Yield inner) { handle(connection, inner); },
+                 std::move(hooks), yield);
 }
 
 void EntryWorker::reportFailure(const char *what)
@@ -198,6 +214,7 @@
         refuse(call, RefusalReason::overloaded, RunOutcome::notRun, yield);
         return;
     }
+    const Admission admission(runtime);
     const std::uint64_t answeredBefore = runtime.counters.answered.load();
     HeldRoom held(worker_.requestBytes);
     if (readRequest(call, match.kind, held, yield)) {
@@ -217,7 +234,6 @@
     if (runtime.counters.answered.load() != answeredBefore) {
         runtime.latency.record(Clock::now() - start);
     }
-    runtime.leave();
 }
 
 // An idempotent request without a body is served beside those that follow it on its connection, so
@@ -239,7 +255,9 @@
     const auto request = std::make_shared<HostRouteRequest>(
         hostRouteRequest(caller.header(), *routing, route, start));
     request->caller = caller.readAhead();
-    spawnOn(loop_, [this, request](Yield inner) { servePipelined(*request, inner); });
+    spawnOn(
+        loop_, [this, request](Yield inner) { servePipelined(*request, inner); },
+        [request] { request->caller.abort(); });
     return true;
 }
 
--- a/src/coordination/entry/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -32,8 +32,9 @@
     asio::io_context &loop() { return loop_; }
 
 private:
-    void accept(Yield yield);
-    void serve(TcpSocket socket, Yield yield);
+    bool accept(Yield yield);
+    void addCaller(const std::shared_ptr<CallerConnection> &caller);
+    void serve(CallerConnection &caller, Yield yield);
     void handle(CallerConnection &caller, Yield yield);
     void admit(CallerConnection &caller, const RouteMatch &match, TimePoint deadline, Yield yield);
     bool serveReadAhead(CallerConnection &caller, TimePoint start);
--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -173,13 +173,14 @@
         TrackedAttempt { std::move(request), Clock::now(), expectedSlowdown_, false, false, {} });
     group_->attempts.push_back(attempt);
     scheduleHedgeCheck();
-    spawnOn(request_.worker.loop,
-            [attempt, group = group_, service = request_.service](Yield yield) {
-                attempt->result = runExchange(attempt->request, yield);
-                attempt->ended = true;
-                releaseTarget(*service, *attempt->request.target);
-                group->signal.cancel();
-            });
+    spawnOn(
+        request_.worker.loop,
+        [attempt](Yield yield) { attempt->result = runExchange(attempt->request, yield); },
+        [attempt, group = group_, service = request_.service] {
+            attempt->ended = true;
+            releaseTarget(*service, *attempt->request.target);
+            group->signal.cancel();
+        });
 }
 
 bool HostRouteCall::startNextAttempt(Yield yield)
--- a/src/coordination/entry/HostRouteExchange.cpp
+++ b/src/coordination/entry/HostRouteExchange.cpp
@@ -43,7 +43,8 @@
 {
     explicit ConcurrentSend(asio::io_context &loop) : ended(loop, TimePoint::max()) { }
     Timer ended;
-    ErrorCode error;
+    ErrorCode error = asio::error::operation_aborted; ///< as if cancelled, until sending returns
+    bool returned = false;
     bool done = false;
 };
 
@@ -55,6 +56,7 @@
     ExchangeResult run(Yield yield);
 
 private:
+    void sendAndReceive(Yield yield);
     std::unique_ptr<TargetConnection> connect(Yield yield);
     void setHeaders();
     ErrorCode send(Yield yield);
@@ -106,12 +108,20 @@
         return connection_->sendRequest(message.header, *message.body, yield);
     }
     concurrentSend_ = std::make_shared<ConcurrentSend>(request_.worker.loop);
-    spawnOn(request_.worker.loop, [this, state = concurrentSend_](Yield inner) {
-        const SharedRequest &sent = request_.message;
-        state->error = connection_->sendRequest(sent.header, *sent.body, inner);
-        state->done = true;
-        state->ended.cancel();
-    });
+    spawnOn(
+        request_.worker.loop,
+        [this, state = concurrentSend_](Yield inner) {
+            const SharedRequest &sent = request_.message;
+            state->error = connection_->sendRequest(sent.header, *sent.body, inner);
+            state->returned = true;
+        },
+        [this, state = concurrentSend_] {
+            if (!state->returned) {
+                connection_->close(); // No response comes to a part of a request.
+            }
+            state->done = true;
+            state->ended.cancel();
+        });
     return {};
 }
 
@@ -308,12 +318,8 @@
     }
 }
 
-ExchangeResult Exchange::run(Yield yield)
+void Exchange::sendAndReceive(Yield yield)
 {
-    connection_ = connect(yield);
-    if (!connection_) {
-        return std::move(result_);
-    }
     result_.pooled = !connection_->isUnused();
     setHeaders();
     connection_->setDeadline(request_.deadline);
@@ -327,6 +333,20 @@
         error = concurrentSend_->error;
     }
     classify(error);
+}
+
+// The request may have run when an exception ends its exchange.
+ExchangeResult Exchange::run(Yield yield)
+{
+    if (!contain([&] { connection_ = connect(yield); }) || !connection_) {
+        request_.handle.connection = nullptr;
+        return std::move(result_);
+    }
+    if (!contain([&] { sendAndReceive(yield); })) {
+        result_ = ExchangeResult();
+        result_.outcome = ExchangeOutcome::failed;
+    }
+    request_.handle.connection = nullptr;
     releaseConnection(yield);
     return std::move(result_);
 }
--- a/src/coordination/entry/IdempotentCall.cpp
+++ b/src/coordination/entry/IdempotentCall.cpp
@@ -89,21 +89,25 @@
     options.deadline = call_.deadline;
     options.requireNewConnection = requireNewConnection;
     options.fingerprint = call_.fingerprint;
-    spawnOn(call_.worker.loop,
-            [&worker = call_.worker, service = call_.service, target, request = request_, options,
-             handle, group = group_](Yield yield) {
-                AttemptResult result
-                    = runAttempt(worker, *service, target, *request, options, *handle, yield);
-                --group->running;
-                if (group->finished) {
-                    if (result.outcome == AttemptOutcome::streaming) {
-                        releaseTarget(*service, *target);
-                    }
-                    return;
-                }
-                group->results.push_back(std::move(result));
+    const auto result = std::make_shared<AttemptResult>();
+    spawnOn(
+        call_.worker.loop,
+        [&worker = call_.worker, service = call_.service, target, request = request_, options,
+         handle, result](Yield yield) {
+            *result = runAttempt(worker, *service, target, *request, options, *handle, yield);
+        },
+        [service = call_.service, target, result, group = group_] {
+            --group->running;
+            const bool neverRan = !result->target;
+            const bool isUnwanted = group->finished && result->outcome == AttemptOutcome::streaming;
+            if (neverRan || isUnwanted) {
+                releaseTarget(*service, *target);
+            }
+            if (!group->finished) {
+                group->results.push_back(std::move(*result));
                 group->wake();
-            });
+            }
+        });
 }
 
 bool IdempotentCall::retryAfterFailure(Yield yield)
--- a/src/coordination/entry/LoadProbe.cpp
+++ b/src/coordination/entry/LoadProbe.cpp
@@ -73,12 +73,16 @@
         }
         ++service.runtime->counters.loadProbes;
         ++round->pending;
-        spawnOn(worker.loop, [&worker, &dialect, sharedService, target, round](Yield inner) {
-            probeTarget(worker, dialect, *sharedService, target, inner);
-            if (--round->pending == 0) {
-                round->ended.cancel();
-            }
-        });
+        spawnOn(
+            worker.loop,
+            [&worker, &dialect, sharedService, target](Yield inner) {
+                probeTarget(worker, dialect, *sharedService, target, inner);
+            },
+            [round] {
+                if (--round->pending == 0) {
+                    round->ended.cancel();
+                }
+            });
     }
     if (round->pending > 0) {
         ErrorCode ignored;
--- a/src/coordination/entry/OnceCall.cpp
+++ b/src/coordination/entry/OnceCall.cpp
@@ -77,6 +77,9 @@
 
     void run(Yield yield);
 
+    /// To be called when dispatching has ended; by an exception, if there is no response.
+    void finish();
+
 private:
     TargetPtr nextTarget(RefusalReason &reason, Yield yield);
     bool claim(Yield yield);
@@ -216,7 +219,11 @@
         refuse(reason, RunOutcome::notRun);
         return;
     }
-    if (state_->abandoned || !claim(yield)) {
+    bool claimed = false;
+    if (!state_->abandoned) {
+        contain([&] { claimed = claim(yield); });
+    }
+    if (!claimed) {
         releaseTarget(*service_, *target);
         return;
     }
@@ -234,13 +241,22 @@
     dispatch(target, yield);
 }
 
+void OnceDispatch::finish()
+{
+    if (!state_->finished) {
+        refuse(RefusalReason::outcomeUnknown, RunOutcome::unknown);
+    }
+}
+
 } // namespace
 
 void serveOnce(Call &call, const std::string &key, Yield yield)
 {
     const auto state = std::make_shared<OnceState>(call.worker.loop);
     auto dispatch = std::make_shared<OnceDispatch>(call, key, state);
-    spawnOn(call.worker.loop, [dispatch](Yield inner) { dispatch->run(inner); });
+    spawnOn(
+        call.worker.loop, [dispatch](Yield inner) { dispatch->run(inner); },
+        [dispatch] { dispatch->finish(); });
     ErrorCode ignored;
     if (!state->finished) {
         state->signal.expires_at(call.deadline);
--- a/src/coordination/membership/ControlFeed.cpp
+++ b/src/coordination/membership/ControlFeed.cpp
@@ -38,7 +38,10 @@
     subscription.isSeed = subscription.isSeed || isSeed;
     subscription.lastListedAt = Clock::now();
     if (!alreadySubscribed) {
-        spawnOn(context_, [this, address](Yield yield) { pollRepeatedly(address, yield); });
+        spawnOn(context_, [this, address](Yield yield) {
+            repeatOn(
+                context_, [&] { return pollOnce(address, yield); }, yield);
+        });
     }
 }
 
@@ -73,24 +76,25 @@
     return list;
 }
 
-void ControlFeed::pollRepeatedly(const std::string &address, Yield yield)
+// Returns false when the address was dropped.
+bool ControlFeed::pollOnce(const std::string &address, Yield yield)
 {
-    while (true) {
-        Subscription &subscription = subscriptions_[address];
-        const bool answered = poll(address, subscription, yield);
-        setReachable(address, subscription, answered);
-        if (answered) {
-            continue;
-        }
-        // The last known address is never dropped, so that the group can be found again.
-        const bool forgotten
-            = Clock::now() - subscription.lastListedAt > forgetAfter && !subscription.isSeed;
-        if (forgotten && subscriptions_.size() > 1) {
-            subscriptions_.erase(address);
-            return;
-        }
-        pauseFor(context_, retryInterval, yield);
+    Subscription &subscription = subscriptions_[address];
+    bool answered = false;
+    contain([&] { answered = poll(address, subscription, yield); });
+    setReachable(address, subscription, answered);
+    if (answered) {
+        return true;
     }
+    // The last known address is never dropped, so that the group can be found again.
+    const bool forgotten
+        = Clock::now() - subscription.lastListedAt > forgetAfter && !subscription.isSeed;
+    if (forgotten && subscriptions_.size() > 1) {
+        subscriptions_.erase(address);
+        return false;
+    }
+    pauseFor(context_, retryInterval, yield);
+    return true;
 }
 
 Milliseconds ControlFeed::pollWaitOf(const Subscription &subscription) const
@@ -126,15 +130,16 @@
     if (subscription.feedSessionId != response->feedSessionId) {
         subscription.storedCursor = 0;
     }
-    subscription.feedSessionId = response->feedSessionId;
-    subscription.cursor = response->cursor;
-    subscription.knownEntriesHash = response->entriesHash;
     subscription.lastListedAt = Clock::now();
-    latestAnsweredPoll_ = std::max(latestAnsweredPoll_, started);
     for (const FeedMember &member : response->members) {
         subscribe(member.address, false);
     }
     hooks_.responseReceived(address, *response);
+    // The next poll acknowledges the response, so it must have been taken.
+    subscription.feedSessionId = response->feedSessionId;
+    subscription.cursor = response->cursor;
+    subscription.knownEntriesHash = response->entriesHash;
+    latestAnsweredPoll_ = std::max(latestAnsweredPoll_, started);
     if (!hooks_.waitUntilStored || hooks_.waitUntilStored(yield)) {
         subscription.storedCursor = response->cursor;
     }
--- a/src/coordination/membership/ControlFeed.h
+++ b/src/coordination/membership/ControlFeed.h
@@ -62,7 +62,7 @@
         std::uint64_t knownEntriesHash = 0;
     };
 
-    void pollRepeatedly(const std::string &address, Yield yield);
+    bool pollOnce(const std::string &address, Yield yield);
     bool poll(const std::string &address, Subscription &subscription, Yield yield);
     Milliseconds pollWaitOf(const Subscription &subscription) const;
     void setReachable(const std::string &address, Subscription &subscription, bool reachable);
--- a/src/protocol/CallerPipeline.cpp
+++ b/src/protocol/CallerPipeline.cpp
@@ -26,8 +26,10 @@
     channel.stopWatching = [pending] { pending->onDisconnect = nullptr; };
     channel.fail = [self, pending](Yield yield) { self->failPending(pending, yield); };
     channel.abort = [self, pending] {
-        self->endPipeline(DropCause::handlerFailed);
-        self->responses_.remove(pending);
+        if (!pending->isEnded) {
+            self->endPipeline(DropCause::handlerFailed);
+            self->responses_.remove(pending);
+        }
     };
     return channel;
 }
--- a/src/protocol/ResponseChannel.h
+++ b/src/protocol/ResponseChannel.h
@@ -16,7 +16,7 @@
     /// Calls the function once if the caller disconnects before stopWatching().
     std::function<void(std::function<void()>)> watchDisconnect;
     std::function<void()> stopWatching;
-    /// Resets the connection.
+    /// Resets the connection; of a pipelined request, ends it unless the request has ended.
     std::function<void()> abort;
     /// Responds that the request failed inside, in its turn, unless it has a response already; then
     /// the connection ends.
--- a/src/transport/BlockingHttp.cpp
+++ b/src/transport/BlockingHttp.cpp
@@ -16,7 +16,7 @@
         HttpClient client(loop, std::move(authenticator));
         result = client.send(address, std::move(request), timeout, yield);
     });
-    loop.run();
+    runLoop(loop);
     return result;
 }
 
--- a/src/transport/DatagramSocket.cpp
+++ b/src/transport/DatagramSocket.cpp
@@ -1,5 +1,6 @@
 #include "transport/DatagramSocket.h"
 
+#include "common/Containment.h"
 #include "kumquat/Error.h"
 #include "kumquat/Event.h"
 
@@ -55,7 +56,7 @@
             return;
         }
         if (!error) {
-            handleDatagram(length);
+            contain([&] { handleDatagram(length); });
         }
         startReceive();
     });
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -68,8 +68,10 @@
 {
     const absl::Status status = openAcceptor(acceptor_, address, false);
     if (status.ok()) {
-        spawnOn(context_,
-                [self = shared_from_this()](Yield yield) { self->acceptConnections(yield); });
+        spawnOn(context_, [self = shared_from_this()](Yield yield) {
+            repeatOn(
+                self->context_, [&] { return self->acceptConnection(yield); }, yield);
+        });
     }
     return status;
 }
@@ -84,36 +86,39 @@
     }
 }
 
-void HttpServer::acceptConnections(Yield yield)
+// Returns false when the server has stopped.
+bool HttpServer::acceptConnection(Yield yield)
 {
-    while (!stopping_) {
-        auto stream = std::make_shared<TcpStream>(context_);
-        ErrorCode error;
-        acceptor_.async_accept(stream->socket(), yield[error]);
-        if (error) {
-            if (!stopping_) {
-                pauseFor(context_, acceptRetryDelay, yield);
-            }
-            continue;
-        }
-        if (connections_ >= limits_.connections) {
-            continue;
-        }
+    const auto stream = std::make_shared<TcpStream>(context_);
+    ErrorCode error;
+    acceptor_.async_accept(stream->socket(), yield[error]);
+    if (error && !stopping_) {
+        pauseFor(context_, acceptRetryDelay, yield);
+    } else if (!error && connections_ < limits_.connections) {
         stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
-        spawnOn(context_, [self = shared_from_this(), stream](Yield inner) {
-            self->serveConnection(stream, inner);
-        });
+        addConnection(stream);
     }
+    return !stopping_;
 }
 
-void HttpServer::serveConnection(const std::shared_ptr<TcpStream> &stream, Yield yield)
+void HttpServer::addConnection(const std::shared_ptr<TcpStream> &stream)
 {
     ++connections_;
+    spawnOn(
+        context_,
+        [self = shared_from_this(), stream](Yield yield) { self->serveConnection(stream, yield); },
+        [self = shared_from_this(), stream] {
+            self->idleStreams_.erase(stream);
+            --self->connections_;
+        });
+}
+
+void HttpServer::serveConnection(const std::shared_ptr<TcpStream> &stream, Yield yield)
+{
     beast::flat_buffer buffer(maxParsedBytes);
     while (!stopping_ && serveRequest(stream, buffer, yield)) { }
     ErrorCode ignored;
     stream->socket().shutdown(TcpSocket::shutdown_send, ignored);
-    --connections_;
 }
 
 // Returns true when the connection may carry another request.
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -69,7 +69,8 @@
 private:
     using Parser = http::request_parser<http::string_body>;
 
-    void acceptConnections(Yield yield);
+    bool acceptConnection(Yield yield);
+    void addConnection(const std::shared_ptr<TcpStream> &stream);
     void serveConnection(const std::shared_ptr<TcpStream> &stream, Yield yield);
     bool serveRequest(const std::shared_ptr<TcpStream> &stream, beast::flat_buffer &buffer,
                       Yield yield);
--- a/test/LoopbackTarget.h
+++ b/test/LoopbackTarget.h
@@ -134,12 +134,17 @@
 template <typename Function>
 void runOn(asio::io_context &loop, Function function)
 {
-    spawnOn(loop, [&loop, &function](Yield yield) {
-        function(yield);
-        loop.stop();
-    });
-    loop.run();
+    bool returned = false;
+    spawnOn(
+        loop,
+        [&function, &returned](Yield yield) {
+            function(yield);
+            returned = true;
+        },
+        [&loop] { loop.stop(); });
+    runLoop(loop);
     loop.restart();
+    CHECK_TRUE(returned); // An exception would end the coroutine only.
 }
 
 } // namespace kumquat::test
