--- a/src/protocol/CallerPipeline.cpp
+++ b/src/protocol/CallerPipeline.cpp
@@ -26,8 +26,10 @@
     channel.stopWatching = [pending] { pending->onDisconnect = nullptr; };
     channel.fail = [self, pending](Yield yield) { self->failPending(pending, yield); };
     channel.abort = [self, pending](DropCause cause) {
-        self->endPipeline(cause);
-        self->responses_.remove(pending);
+        if (!pending->isEnded) {
+            self->endPipeline(cause);
+            self->responses_.remove(pending);
+        }
     };
     return channel;
 }
