Planned stop: the process waits for what the listener still holds

Each worker says when it has closed its listener and its idle connections; the process ends after that. Idle connections are closed after what the loop has accepted already.

--- a/src/coordination/entry/EntryProcess.cpp
+++ b/src/coordination/entry/EntryProcess.cpp
@@ -6,6 +6,7 @@
 #include "kumquat/Error.h"
 #include "kumquat/Event.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <list>
 
@@ -125,11 +126,20 @@
         for (auto &worker : workers_) {
             worker.closeIdle();
         }
-        while (core_.connections > 0 && Clock::now() < core_.stop.end()) {
+        while (isServing() && Clock::now() < core_.stop.end()) {
             std::this_thread::sleep_for(drainPollInterval);
         }
     }
 
+    bool isServing() const
+    {
+        const bool haveDrained
+            = std::all_of(workers_.begin(), workers_.end(),
+                          [](const EntryWorker &worker) { return worker.hasDrained(); });
+        // Asked in this order, since the connections are counted before a worker has drained.
+        return !haveDrained || core_.connections > 0;
+    }
+
     EntrySettings settings_;
     EntryCore core_;
     std::shared_ptr<Authenticator> authenticator_;
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -91,9 +91,13 @@
 void EntryWorker::closeIdle()
 {
     asio::post(loop_, [this] {
-        for (const auto &caller : callers_) {
-            caller->closeIfIdle();
-        }
+        // After what the loop has accepted already.
+        asio::post(loop_, [this] {
+            for (const auto &caller : callers_) {
+                caller->closeIfIdle();
+            }
+            hasDrained_ = true;
+        });
     });
 }
 
--- a/src/coordination/entry/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -9,6 +9,7 @@
 #include "coordination/entry/HostRouteCall.h"
 #include "protocol/CallerConnection.h"
 
+#include <atomic>
 #include <set>
 #include <thread>
 
@@ -27,6 +28,8 @@
     void closeListener();
     /// Closes the connections that wait for a request; requests in flight go on.
     void closeIdle();
+    /// True when both are done, so that no further connection is counted.
+    bool hasDrained() const { return hasDrained_; }
     /// Stops the event loop and joins the thread; to be called after the last request has ended.
     void stop();
 
@@ -68,6 +71,7 @@
     Worker worker_;
     TcpAcceptor acceptor_;
     std::set<std::shared_ptr<CallerConnection>> callers_;
+    std::atomic<bool> hasDrained_ { false };
     std::thread thread_;
 };
 
