--- /dev/null
+++ b/src/coordination/entry/CallerRequest.h
@@ -0,0 +1,22 @@
+#pragma once
+/// \file
+/// What an entry needs of a caller's request beside its fields.
+/// These functions know neither routes nor targets.
+
+#include "transport/HttpServer.h"
+
+#include <cstdint>
+#include <string>
+
+namespace kumquat {
+
+/// The path without the query.
+std::string pathOf(const http::request_header<> &header);
+
+/// A hash of method, target and \p body, by which a request that comes again is recognised.
+std::uint64_t fingerprintOf(const http::request_header<> &header, const std::string &body);
+
+/// True when \p error says that a body breaks the protocol.
+bool isMalformed(ErrorCode error);
+
+} // namespace kumquat
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -1,38 +1,17 @@
 #include "coordination/entry/EntryWorker.h"
 
 #include "coordination/entry/Call.h"
+#include "coordination/entry/CallerRequest.h"
 #include "kumquat/Event.h"
 #include "protocol/Headers.h"
 #include "protocol/Wire.h"
 #include "transport/Spawn.h"
 
-#include <xxhash.h>
-
 namespace kumquat {
 
 namespace {
 
 constexpr Milliseconds acceptRetryDelay { 20 };
-/// Between two checks whether the bodies of other requests have made room.
-constexpr Milliseconds roomCheckInterval { 10 };
-/// A body waits for room for at most its latency objective divided by this, so that a refusal
-/// leaves the caller time to retry.
-constexpr int roomWaitDivisor = 4;
-
-std::uint64_t fingerprintOf(const http::request_header<> &header, const std::string &body)
-{
-    const std::string head
-        = std::string(header.method_string()) + ' ' + std::string(header.target());
-    const std::uint64_t seed = XXH64(head.data(), head.size(), 0);
-    return XXH64(body.data(), body.size(), seed);
-}
-
-// No response to a request whose body fails has begun, so its connection need not be reset: that
-// would cut the responses before it.
-bool isMalformed(ErrorCode error)
-{
-    return error.category() == ErrorCode(http::error::bad_method).category();
-}
 
 /// Ends the count of an admitted request, however it ends.
 class Admission
@@ -47,12 +26,6 @@
     ServiceRuntime &runtime_;
 };
 
-std::string pathOf(const http::request_header<> &header)
-{
-    const std::string target(header.target());
-    return target.substr(0, target.find('?'));
-}
-
 } // namespace
 
 EntryWorker::EntryWorker(EntryCore &core, int maxConnections, std::size_t maxBodyBytes,
@@ -278,185 +251,6 @@
     }
 }
 
-// An idempotent request without a body is served beside those that follow it on its connection, so
-// that a slow one does not delay them. Returns false when the request must be served alone.
-bool EntryWorker::serveReadAhead(CallerConnection &caller, TimePoint start)
-{
-    const bool isServed
-        = core_.ready && core_.isFresh() && !core_.dialect->headers.requestId.empty();
-    if (!isServed || caller.hasBody() || !caller.canReadAhead()) {
-        return false;
-    }
-    const auto host = caller.header()[http::field::host];
-    const auto routing = core_.routing.read();
-    const ActiveRoutePtr route
-        = routing->matchHost({ host.data(), host.size() }, pathOf(caller.header()));
-    if (!route || route->configuration.kind != RequestKind::idempotent) {
-        return false;
-    }
-    const auto request = std::make_shared<HostRouteRequest>(
-        hostRouteRequest(caller.header(), *routing, route, start));
-    request->caller = caller.readAhead();
-    spawnOn(
-        loop_, [this, request](Yield inner) { servePipelined(*request, inner); },
-        [request] { request->caller.abort(DropCause::handlerFailed); });
-    return true;
-}
-
-// A coroutine must not be suspended while it handles an exception.
-void EntryWorker::servePipelined(HostRouteRequest &request, Yield yield)
-{
-    try {
-        setBody(request, HttpRequest(request.request.header), nullptr);
-        if (!refuseIfQuarantined(request, yield)) {
-            serveHostRouteRequest(request, yield);
-        }
-        return;
-    } catch (const std::exception &exception) {
-        reportFailure(exception.what());
-    }
-    request.caller.fail(yield);
-}
-
-void EntryWorker::serveHostRoute(CallerConnection &caller, TimePoint start, Yield yield)
-{
-    const auto host = caller.header()[http::field::host];
-    const auto routing = core_.routing.read();
-    const ActiveRoutePtr route
-        = routing->matchHost({ host.data(), host.size() }, pathOf(caller.header()));
-    if (!route) {
-        refuseBeforeRouting(caller, RefusalReason::noRoute, yield);
-        return;
-    }
-    HostRouteRequest request = hostRouteRequest(caller.header(), *routing, route, start);
-    request.caller = caller.channel();
-    if (!core_.stop.mayStart(request.deadline)) {
-        refuseHostRoute(request, RefusalReason::stopping, yield);
-        return;
-    }
-    if (readHostRouteBody(caller, request, yield) && !refuseIfQuarantined(request, yield)) {
-        serveHostRouteRequest(request, yield);
-    }
-}
-
-// The request as far as its header says; counts it. A route is resolved only with the table that it
-// was found in: another thread may have published a table with other services since.
-HostRouteRequest EntryWorker::hostRouteRequest(const http::request_header<> &header,
-                                               const RoutingTable &routing,
-                                               const ActiveRoutePtr &route, TimePoint start)
-{
-    const HeaderNames &names = core_.dialect->headers;
-    HostRouteRequest request { {},
-                               worker_,
-                               *core_.dialect,
-                               route,
-                               routing.nextService(*route),
-                               {},
-                               routing.version,
-                               start,
-                               {},
-                               HttpRequest(header),
-                               std::string(header[names.requestId]),
-                               0 };
-    request.currentService = [this, name = request.service->configuration.name] {
-        return core_.routing.read()->findService(name);
-    };
-    removeHopByHop(request.request.header, endToEndHeaders(names));
-    if (!request.requestId.empty()) {
-        // Repeated headers could name another request to the target than they do here.
-        request.request.header.set(names.requestId, request.requestId);
-    }
-    const Milliseconds timeout = route->configuration.timeout;
-    request.deadline
-        = start + std::min(timeout, readDeadline(header, names.deadline).value_or(timeout));
-    ++request.service->runtime->counters.requests;
-    request.service->runtime->retryBudget.deposit();
-    return request;
-}
-
-void EntryWorker::refuseHostRoute(HostRouteRequest &request, RefusalReason reason, Yield yield)
-{
-    ++request.service->runtime->counters.refused[static_cast<std::size_t>(reason)];
-    logEvent(Event::requestRefused, LogLevel::info,
-             "request={} route={} service={} version={} reason={} run=no sendings=0",
-             request.requestId, request.route->configuration.name,
-             request.service->configuration.name, request.version.number,
-             refusalReasonName(reason));
-    request.caller.write(refusal(reason, RunOutcome::notRun), yield);
-}
-
-bool EntryWorker::refuseIfQuarantined(HostRouteRequest &request, Yield yield)
-{
-    request.fingerprint = fingerprintOf(request.request.header, *request.request.body);
-    if (!core_.quarantine.isQuarantined(request.fingerprint, Clock::now())) {
-        return false;
-    }
-    refuseHostRoute(request, RefusalReason::quarantined, yield);
-    return true;
-}
-
-// The length is set before the body is shared, since each attempt sends it as it is.
-void EntryWorker::setBody(HostRouteRequest &request, HttpRequest message,
-                          std::shared_ptr<HeldRoom> held)
-{
-    message.prepare_payload();
-    request.request = SharedRequest(std::move(message), std::move(held));
-}
-
-// While a body waits, its caller is held back by the connection's flow control.
-void EntryWorker::waitForRoom(std::size_t bytes, HeldRoom &held, TimePoint until, Yield yield)
-{
-    while (!held.tryGrowTo(bytes) && held.mayWaitFor(bytes) && Clock::now() < until
-           && core_.stop.mayStart(until)) {
-        pauseFor(loop_, roomCheckInterval, yield);
-    }
-    held.dropClaim();
-}
-
-bool EntryWorker::readHostRouteBody(CallerConnection &caller, HostRouteRequest &request,
-                                    Yield yield)
-{
-    const auto held = std::make_shared<HeldRoom>(worker_.requestBytes);
-    HttpRequest message(request.request.header);
-    const auto limit = static_cast<std::size_t>(core_.routing.read()->callerLimits.maxBodyBytes);
-    const auto length = static_cast<std::size_t>(caller.contentLength().value_or(0));
-    if (length <= limit) {
-        const TimePoint until
-            = Clock::now() + request.route->configuration.latencyObjective / roomWaitDivisor;
-        waitForRoom(length, *held, std::min(until, request.deadline), yield);
-    }
-    const ErrorCode error = caller.readBody(
-        message.body(), limit, [&held](std::size_t bytes) { return held->growTo(bytes); },
-        request.deadline, yield);
-    if (error == http::error::body_limit) {
-        refuseHostRoute(request, RefusalReason::requestTooLarge, yield);
-        return false;
-    }
-    if (error == asio::error::no_memory) {
-        refuseHostRoute(request, RefusalReason::overloaded, yield);
-        return false;
-    }
-    if (error == asio::error::timed_out) {
-        refuseHostRoute(request, RefusalReason::requestTimeout, yield);
-        return false;
-    }
-    if (isMalformed(error)) {
-        refuseHostRoute(request, RefusalReason::malformedRequest, yield);
-        return false;
-    }
-    if (error) {
-        ++request.service->runtime->counters.callerDisconnects;
-        logEvent(Event::requestAbandoned, LogLevel::info,
-                 "request={} route={} target=none sendings=0 ms={} cause={}", request.requestId,
-                 request.route->configuration.name,
-                 static_cast<int>(toMilliseconds(Clock::now() - request.arrival)),
-                 dropCauseName(dropCauseOf(error)));
-        return false;
-    }
-    setBody(request, std::move(message), held);
-    return true;
-}
-
 // Reads and checks the request, except an upload's body. Returns false when the request was refused
 // or the caller disconnected.
 bool EntryWorker::readRequest(Call &call, RequestKind kind, HeldRoom &held, Yield yield)
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -17,7 +17,6 @@
 constexpr unsigned firstVersionWithInterim = 11; // HTTP/1.1
 constexpr std::size_t bodyPartBytes = 64 * 1024;
 constexpr std::size_t firstReadBytes = 4 * 1024;
-constexpr Seconds writeTimeout { 30 };
 /// How long input is read and discarded after a response to a request that was not read whole.
 constexpr Milliseconds lingerTime { 1'000 };
 /// How much of a body that a response does not need is read, so that the connection can be kept.
@@ -42,23 +41,6 @@
     }
 }
 
-bool mayHaveBody(const HttpResponse &response)
-{
-    return response.result() != http::status::no_content
-        && response.result() != http::status::not_modified;
-}
-
-// The only length that such a response may name is that of the body left out, if it is known.
-void leaveBodyOut(HttpResponse &response)
-{
-    const std::size_t length = response.body().size();
-    response.content_length(boost::none);
-    if (mayHaveBody(response) && length > 0) {
-        response.content_length(length);
-    }
-    response.body().clear();
-}
-
 } // namespace
 
 CallerConnection::CallerConnection(asio::io_context &context, TcpSocket socket)
@@ -132,14 +114,6 @@
     (void)writeResponse(refusal(RefusalReason::internalError, RunOutcome::unknown), yield);
 }
 
-// Each version has a default of its own, and a target's may be another than the one that is
-// written.
-void CallerConnection::sayWhetherKept(HttpResponse &response, bool keep)
-{
-    response.version(11);
-    response.keep_alive(keep);
-}
-
 // Closing a socket with unread input sends a reset, as does later input. It may discard responses
 // that the caller has not received yet.
 void CallerConnection::discardInput(Yield yield)
@@ -401,78 +375,6 @@
     return before - input_.size();
 }
 
-ErrorCode CallerConnection::writeResponse(HttpResponse response, Yield yield)
-{
-    stopWatching();
-    discardShortBody(yield);
-    const bool keep = keepsAlive();
-    sayWhetherKept(response, keep);
-    const bool isHeadRequest = parser_->is_header_done() && header().method() == http::verb::head;
-    responseStarted_ = true;
-    const ErrorCode error = writeMessage(response, isHeadRequest, yield);
-    if (error) {
-        hooks_.responsesDropped(dropCauseOf(error), 1);
-    }
-    reusable_ = !error && keep;
-    requestUnread_ = !error && (!parser_->is_header_done() || !isBodyRead());
-    return error;
-}
-
-ErrorCode CallerConnection::writeMessage(HttpResponse &response, bool isHeadRequest, Yield yield)
-{
-    ErrorCode error;
-    probesSent_ = 0;
-    stream_.expires_after(writeTimeout);
-    if (isHeadRequest || !mayHaveBody(response)) {
-        leaveBodyOut(response);
-        http::response_serializer<http::string_body> serializer(response);
-        http::async_write_header(stream_, serializer, yield[error]);
-    } else {
-        response.prepare_payload();
-        http::async_write(stream_, response, yield[error]);
-    }
-    return error;
-}
-
-ErrorCode CallerConnection::writeHeader(http::response_header<> responseHeader,
-                                        std::optional<std::uint64_t> length, Yield yield)
-{
-    stopWatching();
-    responseStarted_ = true;
-    streamedResponse_.emplace(std::move(responseHeader));
-    streamedResponse_->version(11);
-    // A caller of an older version knows no chunks: the end of the connection ends the body.
-    const bool knowsChunks = header().version() >= 11;
-    if (length) {
-        streamedResponse_->content_length(*length);
-    } else if (knowsChunks) {
-        streamedResponse_->chunked(true);
-    }
-    streamedResponse_->keep_alive((length || knowsChunks) && keepsAlive());
-    streamedResponse_->body().data = nullptr;
-    streamedResponse_->body().more = true;
-    serializer_.emplace(*streamedResponse_);
-    ErrorCode error;
-    stream_.expires_after(writeTimeout);
-    http::async_write_header(stream_, *serializer_, yield[error]);
-    return error;
-}
-
-ErrorCode CallerConnection::writeBodyPart(const std::string &part, bool last, Yield yield)
-{
-    ErrorCode error;
-    streamedResponse_->body().data = part.empty() ? nullptr : const_cast<char *>(part.data());
-    streamedResponse_->body().size = part.size();
-    streamedResponse_->body().more = !last;
-    stream_.expires_after(writeTimeout);
-    http::async_write(stream_, *serializer_, yield[error]);
-    if (error == http::error::need_buffer) {
-        error = {};
-    }
-    reusable_ = last && !error && streamedResponse_->keep_alive();
-    return error;
-}
-
 void CallerConnection::abort(DropCause cause)
 {
     ErrorCode ignored;
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -37,6 +37,9 @@
     using Handler = std::function<void(CallerConnection &, Yield)>;
     using Parser = CallerInput::Parser;
 
+    /// A caller that takes nothing for as long has stalled.
+    static constexpr Seconds writeTimeout { 30 };
+
     CallerConnection(asio::io_context &context, TcpSocket socket);
 
     /// Serves one request after another until the caller or the process ends the connection.
