Sanitizer: an exception caught on a coroutine's stack leaves no marks behind

Cause: the address sanitizer doesn't know the stacks of coroutines (its first line says "ignoring requested __asan_handle_no_return ... false positive error reports may follow"). What an exception unwinds stays marked as ended, and later functions at the same addresses are reported. Which test meets it depends on where frames happen to lie. Same cause as that of test/asan-suppressions.txt.

Where an exception is caught the marks below are taken back.

--- a/src/common/Containment.cpp
+++ b/src/common/Containment.cpp
@@ -1,5 +1,6 @@
 #include "common/Containment.h"
 
+#include "common/UnwoundStack.h"
 #include "kumquat/Event.h"
 
 #include <atomic>
@@ -14,6 +15,7 @@
 
 void reportException(const char *what)
 {
+    forgetUnwoundFrames();
     ++reported;
     logEvent(Event::handlerFailed, LogLevel::error, "{}", what);
 }
--- a/src/coordination/entry/EntryHostRoutes.cpp
+++ b/src/coordination/entry/EntryHostRoutes.cpp
@@ -1,4 +1,5 @@
 // How a worker reads the requests of host routes and starts to serve them.
+#include "common/UnwoundStack.h"
 #include "coordination/entry/CallerRequest.h"
 #include "coordination/entry/EntryWorker.h"
 #include "kumquat/Event.h"
@@ -52,6 +53,7 @@
         }
         return;
     } catch (const std::exception &exception) {
+        forgetUnwoundFrames();
         reportFailure(exception.what());
     }
     request.caller.fail(yield);
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include "protocol/CallerConnection.h"
 
+#include "common/UnwoundStack.h"
 #include "kumquat/Event.h"
 #include "protocol/Refusal.h"
 #include "transport/RequestFraming.h"
@@ -90,6 +91,7 @@
         isHandling_ = false;
         return true;
     } catch (const std::exception &exception) {
+        forgetUnwoundFrames();
         failure = exception.what();
     }
     isHandling_ = false;
--- a/src/protocol/CallerInput.cpp
+++ b/src/protocol/CallerInput.cpp
@@ -1,5 +1,7 @@
 #include "protocol/CallerInput.h"
 
+#include "common/UnwoundStack.h"
+
 #include <algorithm>
 #include <cerrno>
 #include <stdexcept>
@@ -110,6 +112,7 @@
     try {
         buffer_.consume(parser.put(buffer_.data(), error));
     } catch (const std::length_error &) {
+        forgetUnwoundFrames();
         error = http::error::header_limit; // A field may be shorter than the header may be.
     }
     return error;
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "transport/HttpServer.h"
 
 #include "common/Time.h"
+#include "common/UnwoundStack.h"
 #include "kumquat/Error.h"
 #include "kumquat/Event.h"
 #include "transport/ParserLimits.h"
@@ -281,6 +282,7 @@
         response.prepare_payload();
         return response;
     } catch (const std::exception &exception) {
+        forgetUnwoundFrames();
         ++counters_.handlerFailures;
         logEvent(Event::handlerFailed, LogLevel::error, "path={} {}", std::string(request.target()),
                  exception.what());
