HalfClosedCallers: wait for the end of the connection before counting

The handler polls for its caller's departure once a millisecond and calls abort(), which counts, only then; the test read the count as soon as the departure was noticed. The checks now wait until the connection has ended and then ask for exactly one dropped response with its cause, which also catches one counted twice.

--- a/test/correctness/HalfClosedCallers.cpp
+++ b/test/correctness/HalfClosedCallers.cpp
@@ -46,8 +46,11 @@
             served, [&] { return served.bookingRuns == expected; }, yield);
     }
 
-    void checkDropped(DropCause cause)
+    // The handler notices a moment after its caller was found to have left.
+    void checkDropped(DropCause cause, Yield yield)
     {
+        CHECK(becomes(
+            served, [&] { return served.closed; }, yield));
         LONGS_EQUAL(1, served.dropped);
         CHECK(served.lastDropCause == cause);
     }
@@ -155,7 +158,7 @@
         CHECK(bookingRuns(true, yield));
         caller.close();
         CHECK(bookingRuns(false, yield));
-        checkDropped(DropCause::callerClosed);
+        checkDropped(DropCause::callerClosed, yield);
     });
 }
 
@@ -169,7 +172,7 @@
         CHECK(served.bookingRuns);
         reset(caller);
         CHECK(bookingRuns(false, yield));
-        checkDropped(DropCause::callerClosed);
+        checkDropped(DropCause::callerClosed, yield);
     });
 }
 
@@ -186,7 +189,7 @@
         STRCMP_EQUAL(interim.c_str(), received.c_str());
         caller.close();
         CHECK(bookingRuns(false, yield));
-        checkDropped(DropCause::callerClosed);
+        checkDropped(DropCause::callerClosed, yield);
     });
 }
 
@@ -199,7 +202,7 @@
         pauseFor(served.loop, Milliseconds(20), yield);
         reset(caller);
         CHECK(bookingRuns(false, yield));
-        checkDropped(DropCause::callerReset);
+        checkDropped(DropCause::callerReset, yield);
     });
 }
 
@@ -210,7 +213,7 @@
         CHECK(bookingRuns(true, yield));
         reset(caller);
         CHECK(bookingRuns(false, yield));
-        checkDropped(DropCause::callerReset);
+        checkDropped(DropCause::callerReset, yield);
     });
 }
 
@@ -222,6 +225,6 @@
         CHECK(bookingRuns(true, yield));
         closeWritingSide(caller);
         CHECK(bookingRuns(false, yield));
-        checkDropped(DropCause::callerClosed);
+        checkDropped(DropCause::callerClosed, yield);
     });
 }
