Planned stop: answer what outlasts it, so that finished responses follow

Cause: at the end of a stop the event loops ended whatever the connections held. Nothing answered the request at the head, so what waited behind it could not be written. Bookings, uploads and requests of the product's own routes that outlast the stop lost their response at the same place.

Change: 200 ms before the end each unfinished request is told (StopNotices) and answers its caller: 504 cut-by-stop, outcome unknown, where a target had it, else 503 stopping, not run. The wait for the rest of a body ends then too. On the same path: a pipelined request that ends without a response (its coroutine could not start, say) ended the whole connection; it is answered 500 in its turn now, and the others get theirs.

--- a/src/common/Explanation.cpp
+++ b/src/common/Explanation.cpp
@@ -51,6 +51,11 @@
     { "quota-undecided",
       "whether its organisation's quota had room was not known in time, since the entry that keeps "
       "the quota answered late; it has not run" },
+    { "cut-by-stop",
+      "a target was still at work on it when the planned stop of the entry ended; whether it ran "
+      "is "
+      "unknown" },
+    { "stopping", "the entry was being stopped as planned, and could have cut it; it has not run" },
     { "deadline-exceeded",
       "a target received it and gave no complete response before the deadline" },
 };
--- a/src/coordination/entry/Attempt.h
+++ b/src/coordination/entry/Attempt.h
@@ -5,6 +5,7 @@
 
 #include "common/BodyRoom.h"
 #include "coordination/entry/RoutingTable.h"
+#include "coordination/entry/StopNotices.h"
 #include "protocol/Dialect.h"
 #include "protocol/OnceMessages.h"
 #include "protocol/TargetConnectionPool.h"
@@ -57,6 +58,7 @@
     BodyRoom responseBytes; ///< of all responses of host routes, until they are written
     Random random;
     const EntryHooks &hooks;
+    StopNotices stopNotices; ///< for the requests of this worker
     std::map<std::string, SuspectChecks> suspectChecks; ///< by the target's name
     std::shared_ptr<HostRouteAdmissions> admissions; ///< null: waiting requests are not queued
 };
--- a/src/coordination/entry/EntryHostRoutes.cpp
+++ b/src/coordination/entry/EntryHostRoutes.cpp
@@ -83,6 +83,10 @@
 {
     try {
         setBody(request, HttpRequest(request.request.header), nullptr);
+        if (!core_.stop.mayStart(request.deadline)) {
+            refuseHostRoute(request, RefusalReason::stopping, yield);
+            return;
+        }
         if (refuseIfOverQuota(request, yield)) {
             return;
         }
@@ -279,7 +283,9 @@
         return false;
     }
     if (error == asio::error::timed_out) {
-        refuseHostRoute(request, RefusalReason::requestTimeout, yield);
+        const bool mayStart = core_.stop.mayStart(request.deadline);
+        refuseHostRoute(request, mayStart ? RefusalReason::requestTimeout : RefusalReason::stopping,
+                        yield);
         return false;
     }
     if (isMalformed(error)) {
--- a/src/coordination/entry/EntryProcess.cpp
+++ b/src/coordination/entry/EntryProcess.cpp
@@ -117,6 +117,7 @@
 
     // The load balancer in front first sees "not ready" for the grace period; then the listeners
     // close and requests in flight complete. Connections accepted last may still bring theirs.
+    // What outlasts the stop is answered before its end, and with it what waits behind it.
     void drain()
     {
         logEvent(Event::processStopping, LogLevel::info, "entry={} connections={}", settings_.name,
@@ -129,7 +130,17 @@
         for (auto &worker : workers_) {
             worker.closeIdle();
         }
-        while (isServing() && Clock::now() < core_.stop.end()) {
+        serveUntil(core_.stop.lastResponse());
+        for (auto &worker : workers_) {
+            worker.answerUnfinished();
+        }
+        // A process that stood still is late.
+        serveUntil(std::max(core_.stop.end(), Clock::now() + PlannedStop::deliveryTime));
+    }
+
+    void serveUntil(TimePoint end) const
+    {
+        while (isServing() && Clock::now() < end) {
             std::this_thread::sleep_for(drainPollInterval);
         }
     }
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -74,6 +74,16 @@
     });
 }
 
+void EntryWorker::answerUnfinished()
+{
+    asio::post(loop_, [this] {
+        worker_.stopNotices.notify();
+        for (const auto &caller : callers_) {
+            caller->endBody();
+        }
+    });
+}
+
 void EntryWorker::stop()
 {
     work_.reset();
@@ -81,6 +91,9 @@
     if (thread_.joinable()) {
         thread_.join();
     }
+    for (const auto &caller : callers_) {
+        caller->cutAtStop();
+    }
 }
 
 std::size_t EntryWorker::unansweredRequests() const
@@ -278,7 +291,9 @@
         return false;
     }
     if (error == asio::error::timed_out) {
-        refuse(call, RefusalReason::requestTimeout, RunOutcome::notRun, yield);
+        const bool mayStart = core_.stop.mayStart(call.deadline);
+        refuse(call, mayStart ? RefusalReason::requestTimeout : RefusalReason::stopping,
+               RunOutcome::notRun, yield);
         return false;
     }
     if (isMalformed(error)) {
--- a/src/coordination/entry/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -28,7 +28,9 @@
     void closeListener();
     /// Closes the connections that wait for a request; requests in flight go on.
     void closeIdle();
-    /// True when both are done, so that no further connection is counted.
+    /// Gives requests that still run a response, since the process is about to end.
+    void answerUnfinished();
+    /// True when the first two are done, so that no further connection is counted.
     bool hasDrained() const { return hasDrained_; }
     /// Stops the event loop and joins the thread; to be called after the last request has ended.
     void stop();
--- a/src/coordination/entry/HostRouteCall.cpp
+++ b/src/coordination/entry/HostRouteCall.cpp
@@ -28,6 +28,7 @@
     bool handleResult(TrackedAttempt &ended, Yield yield);
     bool retry(const TrackedAttempt &ended, Yield yield);
     void serveUntilEnd(Yield yield);
+    RefusalReason failureReason() const;
     void fail(Yield yield);
 
     HostRouteProgress progress_;
@@ -109,6 +110,18 @@
     return awaitsResult(progress_) || retry(ended, yield);
 }
 
+RefusalReason HostRouteCall::failureReason() const
+{
+    if (progress_.possibleRuns == 0) {
+        return progress_.refusalReason;
+    }
+    if (progress_.group->isStopOver && awaitsResult(progress_)) {
+        return RefusalReason::cutByStop;
+    }
+    const bool late = Clock::now() + minTimeLeft >= request_.deadline;
+    return late ? RefusalReason::deadlineExceeded : RefusalReason::targetFailed;
+}
+
 // Forwards the last error response of a target, unless its status would claim that the request
 // did not run although it may have.
 void HostRouteCall::fail(Yield yield)
@@ -120,13 +133,7 @@
         sendResponse(progress_, std::move(*lastErrorResponse_), yield);
         return;
     }
-    const bool late = Clock::now() + minTimeLeft >= request_.deadline;
-    if (progress_.possibleRuns > 0) {
-        refuseWith(progress_, late ? RefusalReason::deadlineExceeded : RefusalReason::targetFailed,
-                   yield);
-        return;
-    }
-    refuseWith(progress_, progress_.refusalReason, yield);
+    refuseWith(progress_, failureReason(), yield);
 }
 
 void HostRouteCall::serveUntilEnd(Yield yield)
@@ -136,7 +143,7 @@
         const auto ended = takeEndedAttempt(progress_);
         if (ended) {
             inProgress = handleResult(*ended, yield);
-        } else if (Clock::now() >= request_.deadline) {
+        } else if (Clock::now() >= request_.deadline || progress_.group->isStopOver) {
             inProgress = false;
         } else if (Clock::now() >= nextHedgeTime(progress_)) {
             hedgeIfLate(progress_, yield);
@@ -152,6 +159,10 @@
         group->disconnected = cause;
         group->signal.cancel();
     });
+    const auto subscription = request_.worker.stopNotices.subscribe([group = progress_.group] {
+        group->isStopOver = true;
+        group->signal.cancel();
+    });
     serveUntilEnd(yield);
     if (progress_.responded) {
         return;
--- a/src/coordination/entry/HostRouteProgress.h
+++ b/src/coordination/entry/HostRouteProgress.h
@@ -28,6 +28,7 @@
     Timer signal; ///< cancelled when an attempt ends or the caller disconnects
     std::vector<std::shared_ptr<TrackedAttempt>> attempts;
     std::optional<DropCause> disconnected; ///< why the caller can get no response any more
+    bool isStopOver = false; ///< a planned stop leaves only time for a response
 };
 
 struct HostRouteProgress
--- a/src/coordination/entry/IdempotentCall.cpp
+++ b/src/coordination/entry/IdempotentCall.cpp
@@ -30,6 +30,7 @@
     int running = 0;
     std::optional<DropCause> disconnected; ///< why the caller can get no response any more
     bool finished = false;
+    bool isStopOver = false; ///< a planned stop leaves only time for a response
 };
 
 class IdempotentCall
@@ -231,6 +232,10 @@
         group->disconnected = cause;
         group->wake();
     });
+    const auto subscription = call_.worker.stopNotices.subscribe([group = group_] {
+        group->isStopOver = true;
+        group->wake();
+    });
     start(first, false);
     bool over = false;
     while (!over) {
@@ -244,6 +249,8 @@
             AttemptResult result = std::move(group_->results.back());
             group_->results.pop_back();
             over = handleResult(std::move(result), yield);
+        } else if (group_->isStopOver) {
+            break;
         } else if (Clock::now() >= hedgeAt_ && !hedge()) {
             hedgeAt_ = call_.deadline;
         }
@@ -251,6 +258,9 @@
     if (relayed_) {
         return;
     }
+    if (group_->isStopOver && group_->running > 0) {
+        refusalReason_ = RefusalReason::cutByStop;
+    }
     mayHaveRun_ = mayHaveRun_ || group_->running > 0;
     finish(yield);
     if (group_->disconnected) {
--- a/src/coordination/entry/OnceCall.cpp
+++ b/src/coordination/entry/OnceCall.cpp
@@ -248,6 +248,20 @@
     }
 }
 
+bool mayHaveRun(const OnceState &state)
+{
+    return state.dispatched || state.keyHeldElsewhere;
+}
+
+RefusalReason reasonWithoutResult(const Call &call, const OnceState &state)
+{
+    if (mayHaveRun(state)) {
+        return RefusalReason::outcomeUnknown;
+    }
+    const bool late = Clock::now() >= call.deadline;
+    return late ? RefusalReason::deadlineExceeded : RefusalReason::stopping;
+}
+
 } // namespace
 
 void serveOnce(Call &call, const std::string &key, Yield yield)
@@ -258,15 +272,16 @@
         call.worker.loop, [dispatch](Yield inner) { dispatch->run(inner); },
         [dispatch] { dispatch->finish(); });
     ErrorCode ignored;
+    const auto subscription
+        = call.worker.stopNotices.subscribe([state] { state->signal.cancel(); });
     if (!state->finished) {
         state->signal.expires_at(call.deadline);
         state->signal.async_wait(yield[ignored]);
     }
     if (!state->finished) {
         state->abandoned = true;
-        const bool mayHaveRun = state->dispatched || state->keyHeldElsewhere;
-        refuse(call, mayHaveRun ? RefusalReason::outcomeUnknown : RefusalReason::deadlineExceeded,
-               mayHaveRun ? RunOutcome::unknown : RunOutcome::notRun, yield);
+        refuse(call, reasonWithoutResult(call, *state),
+               mayHaveRun(*state) ? RunOutcome::unknown : RunOutcome::notRun, yield);
         return;
     }
     ServiceCounters &counters = call.service->runtime->counters;
--- a/src/coordination/entry/UploadCall.cpp
+++ b/src/coordination/entry/UploadCall.cpp
@@ -13,13 +13,14 @@
 /// Between two checks whether the target has responded while the caller pauses.
 constexpr Milliseconds responseCheckInterval { 10 };
 
-// Fails with asio::error::timed_out when the caller has paused for too long or the target has
-// responded meanwhile.
-ErrorCode readPart(Call &call, TargetConnection &connection, std::string &part, Yield yield)
+// Fails with asio::error::timed_out when the caller has paused for too long, the target has
+// responded meanwhile or the process is about to end.
+ErrorCode readPart(Call &call, const AttemptHandle &handle, std::string &part, Yield yield)
 {
     const TimePoint until = Clock::now() + call.service->configuration.uploadIdleTimeout;
     ErrorCode error = asio::error::timed_out;
-    while (error == asio::error::timed_out && !connection.hasResponse() && Clock::now() < until) {
+    while (error == asio::error::timed_out && !handle.cancelled && !handle.connection->hasResponse()
+           && Clock::now() < until) {
         error = call.caller.readSomeBody(part, responseCheckInterval, yield);
     }
     return error;
@@ -31,8 +32,9 @@
     return connection.hasResponse() ? BodyOutcome::earlyResponse : BodyOutcome::targetFailed;
 }
 
-BodyOutcome relayBody(Call &call, TargetConnection &connection, Yield yield)
+BodyOutcome relayBody(Call &call, const AttemptHandle &handle, Yield yield)
 {
+    TargetConnection &connection = *handle.connection;
     const Milliseconds idle = call.service->configuration.uploadIdleTimeout;
     connection.setDeadline(Clock::now() + idle);
     if (connection.sendHeader(call.request.base(), call.caller.contentLength(), yield)) {
@@ -41,7 +43,7 @@
     std::string part;
     while (!call.caller.isBodyRead()) {
         part.clear();
-        const ErrorCode error = readPart(call, connection, part, yield);
+        const ErrorCode error = readPart(call, handle, part, yield);
         if (error == asio::error::timed_out) {
             return connection.hasResponse() ? BodyOutcome::earlyResponse
                                             : BodyOutcome::callerStalled;
@@ -61,9 +63,16 @@
                                                     : BodyOutcome::complete;
 }
 
+// The target may have run what it has.
+void endAtStop(Call &call, const Target &target, Yield yield)
+{
+    releaseTarget(*call.service, target);
+    refuse(call, RefusalReason::cutByStop, RunOutcome::unknown, yield);
+}
+
 void relayResponse(Call &call, const TargetPtr &target,
-                   std::unique_ptr<TargetConnection> connection, BodyOutcome bodyOutcome,
-                   Yield yield)
+                   std::unique_ptr<TargetConnection> connection, AttemptHandle &handle,
+                   BodyOutcome bodyOutcome, Yield yield)
 {
     // A response that has arrived is not late because its caller was slow.
     const bool isEarly = bodyOutcome == BodyOutcome::earlyResponse;
@@ -74,6 +83,11 @@
     if (!error) {
         error = connection->readBody(body, AttemptOptions().maxBufferedBytes, yield);
     }
+    handle.connection = nullptr;
+    if (error && handle.cancelled) {
+        endAtStop(call, *target, yield);
+        return;
+    }
     if (error) {
         releaseTarget(*call.service, *target);
         target->stats->recordFailure(Clock::now());
@@ -114,6 +128,8 @@
     RefusalReason reason = RefusalReason::noTarget;
     std::unique_ptr<TargetConnection> connection;
     TargetPtr target;
+    AttemptHandle handle;
+    const auto subscription = call.worker.stopNotices.subscribe([&handle] { handle.cancel(); });
     // A target that cannot be connected to is skipped: no byte of the body has been read yet.
     while (!connection) {
         target = waitForTarget(call.worker, *call.service, tried, call.deadline, reason, yield);
@@ -125,14 +141,19 @@
         AttemptOptions options;
         options.deadline = call.deadline;
         options.requireNewConnection = true;
-        AttemptHandle handle;
         connection = connectTo(call.worker, *target, options, handle, yield);
         if (!connection) {
-            target->stats->recordFailure(Clock::now());
+            if (!handle.cancelled) {
+                target->stats->recordFailure(Clock::now());
+            }
             releaseTarget(*call.service, *target);
         }
     }
-    const BodyOutcome bodyOutcome = relayBody(call, *connection, yield);
+    const BodyOutcome bodyOutcome = relayBody(call, handle, yield);
+    if (handle.cancelled && bodyOutcome != BodyOutcome::callerFailed) {
+        endAtStop(call, *target, yield);
+        return;
+    }
     if (bodyOutcome == BodyOutcome::callerFailed) {
         // Closes mid-body: by the framing of the body the target detects the incomplete upload.
         connection->close();
@@ -154,7 +175,7 @@
         refuse(call, RefusalReason::targetFailed, RunOutcome::unknown, yield);
         return;
     }
-    relayResponse(call, target, std::move(connection), bodyOutcome, yield);
+    relayResponse(call, target, std::move(connection), handle, bodyOutcome, yield);
 }
 
 } // namespace kumquat
--- a/src/coordination/policy/PlannedStop.h
+++ b/src/coordination/policy/PlannedStop.h
@@ -16,7 +16,7 @@
     /// A response that is ready at the last moment takes this long to reach its caller.
     static constexpr Milliseconds deliveryTime { 200 };
 
-    /// Begins the stop; what runs after \p limit is aborted. Later calls change nothing.
+    /// Begins the stop, which lasts for \p limit. Later calls change nothing.
     void begin(TimePoint now, Milliseconds limit)
     {
         Clock::rep notBegun = never;
@@ -25,14 +25,14 @@
 
     bool hasBegun() const { return end_ != never; }
 
-    /// When requests that still run are aborted; the end of time before the stop has begun.
+    /// When connections are closed; the end of time before the stop has begun.
     TimePoint end() const { return TimePoint(Clock::duration(end_.load())); }
 
+    /// When requests that still run get a response from the entry itself.
+    TimePoint lastResponse() const { return end() - deliveryTime; }
+
     /// True when a request that lasts until \p deadline gets its response before the end.
-    bool mayStart(TimePoint deadline) const
-    {
-        return !hasBegun() || deadline <= end() - deliveryTime;
-    }
+    bool mayStart(TimePoint deadline) const { return !hasBegun() || deadline <= lastResponse(); }
 
 private:
     static constexpr Clock::rep never = Clock::duration::max().count();
--- a/src/protocol/CallerConnection.cpp
+++ b/src/protocol/CallerConnection.cpp
@@ -399,4 +399,24 @@
     }
 }
 
+void CallerConnection::endBody()
+{
+    if (isHandling_ && !isBodyRead()) {
+        input_.endWait();
+    }
+}
+
+// A body that ends with the connection must not look complete.
+void CallerConnection::cutAtStop()
+{
+    if (dueResponses() == 0) {
+        return;
+    }
+    hooks_.responsesDropped(DropCause::processStopped, dueResponses());
+    if (isHandling_ && responseStarted_) {
+        ErrorCode ignored;
+        stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+}
+
 } // namespace kumquat
--- a/src/protocol/CallerConnection.h
+++ b/src/protocol/CallerConnection.h
@@ -91,6 +91,10 @@
     /// Resets the connection, so that the caller cannot take what was sent for a whole response.
     void abort(DropCause cause);
     void closeIfIdle();
+    /// Ends the wait for the rest of a body now, as if its time were over.
+    void endBody();
+    /// Ends the connection at the end of the process, after its event loop has stopped.
+    void cutAtStop();
 
     /// Requests that were read and whose response was not sent yet.
     std::size_t dueResponses() const;
@@ -122,6 +126,7 @@
     void awaitPending(Yield yield);
     void waitForRoom(Yield yield);
     void waitWhile(const std::function<bool()> &condition, Yield yield);
+    void abortPending(const PendingResponsePtr &pending, DropCause cause);
     void failPending(const PendingResponsePtr &pending, Yield yield);
     void sendUntilEnd(const PendingResponse &pending, Yield yield);
     void sendPending(PendingResponse &next, Yield yield);
--- a/src/protocol/CallerInput.cpp
+++ b/src/protocol/CallerInput.cpp
@@ -74,6 +74,12 @@
     return error == asio::error::would_block ? waited : error;
 }
 
+void CallerInput::endWait()
+{
+    wait_->isOver = true;
+    wait_->timer.cancel();
+}
+
 ErrorCode CallerInput::discardUntil(TimePoint until, Yield yield)
 {
     ErrorCode error;
@@ -96,7 +102,8 @@
         });
     }
     ErrorCode ignored;
-    while (wait_->isPending && Clock::now() < until) {
+    wait_->isOver = false;
+    while (wait_->isPending && !wait_->isOver && Clock::now() < until) {
         wait_->timer.expires_at(until);
         wait_->timer.async_wait(yield[ignored]);
     }
--- a/src/protocol/CallerInput.h
+++ b/src/protocol/CallerInput.h
@@ -36,6 +36,9 @@
     /// Receives something; fails with asio::error::timed_out when nothing has come by \p until.
     ErrorCode receiveUntil(TimePoint until, Yield yield);
 
+    /// Ends a wait with a time limit now, as if its time were over.
+    void endWait();
+
     /// Drops what is received; returns asio::error::timed_out at \p until, or why nothing more
     /// comes.
     ErrorCode discardUntil(TimePoint until, Yield yield);
@@ -55,6 +58,7 @@
         Timer timer; ///< cancelled when the wait ends
         ErrorCode error;
         bool isPending = false;
+        bool isOver = false; ///< nobody waits longer
     };
 
     ErrorCode awaitInput(TimePoint until, Yield yield);
--- a/src/protocol/CallerPipeline.cpp
+++ b/src/protocol/CallerPipeline.cpp
@@ -1,6 +1,7 @@
 // Pipelined requests of a caller's connection: their responses, in order, and what ends them.
 #include "protocol/CallerConnection.h"
 #include "protocol/Refusal.h"
+#include "transport/Spawn.h"
 
 namespace kumquat {
 
@@ -31,12 +32,30 @@
     channel.stopWatching = [pending] { pending->onDisconnect = nullptr; };
     channel.fail = [self, pending](Yield yield) { self->failPending(pending, yield); };
     channel.abort = [self, pending](DropCause cause) {
+        if (!pending->isEnded) {
+            self->abortPending(pending, cause);
+        }
+    };
+    return channel;
+}
+
+// The request has no coroutine left that could write its response.
+void CallerConnection::abortPending(const PendingResponsePtr &pending, DropCause cause)
+{
+    const auto end = [self = shared_from_this(), pending, cause] {
         if (!pending->isEnded) {
             self->endPipeline(cause);
             self->responses_.remove(pending);
         }
     };
-    return channel;
+    if (pending->isReady || responses_.isDisconnected()) {
+        end();
+        return;
+    }
+    spawnOn(
+        context_,
+        [self = shared_from_this(), pending](Yield yield) { self->failPending(pending, yield); },
+        end);
 }
 
 // One request that fails must not cost the others of its connection their responses.
--- a/src/protocol/DropCause.cpp
+++ b/src/protocol/DropCause.cpp
@@ -5,8 +5,8 @@
 const char *dropCauseName(DropCause cause)
 {
     static const char *const names[dropCauseCount]
-        = { "caller-closed",  "caller-reset",  "caller-stalled",    "connection-lost",
-            "handler-failed", "target-failed", "request-incomplete" };
+        = { "caller-closed",  "caller-reset",  "caller-stalled",     "connection-lost",
+            "handler-failed", "target-failed", "request-incomplete", "process-stopped" };
     return names[static_cast<int>(cause)];
 }
 
--- a/src/protocol/DropCause.h
+++ b/src/protocol/DropCause.h
@@ -15,9 +15,10 @@
     handlerFailed, ///< it threw an exception
     targetFailed, ///< the rest of a response, of which the caller has a part, did not come
     requestIncomplete, ///< the rest of a request, of which a target has a part, did not come
+    processStopped, ///< the process ended as planned
 };
 
-constexpr int dropCauseCount = 7;
+constexpr int dropCauseCount = 8;
 
 /// The name in logs and metrics.
 const char *dropCauseName(DropCause cause);
--- a/src/protocol/Refusal.cpp
+++ b/src/protocol/Refusal.cpp
@@ -53,6 +53,8 @@
           "send it again later; the organisation's quota is used up" },
         { "quota-undecided", http::status::service_unavailable, "0.050",
           "send it again; whether the organisation's quota has room was not known in time" },
+        { "cut-by-stop", http::status::gateway_timeout, nullptr,
+          "send it again on a new connection if it may run twice" },
     };
     return texts[static_cast<int>(reason)];
 }
--- a/src/protocol/Refusal.h
+++ b/src/protocol/Refusal.h
@@ -30,9 +30,10 @@
     unknownKey, ///< no organisation holds the caller's key
     overQuota, ///< the caller's organisation has used up its quota
     quotaUndecided, ///< whether the quota has room was not known in time
+    cutByStop, ///< the planned stop of the entry ended while a target was at work
 };
 
-constexpr int refusalReasonCount = 21;
+constexpr int refusalReasonCount = 22;
 
 /// Whether a target ran the refused request.
 enum class RunOutcome {
--- a/src/protocol/ResponseChannel.h
+++ b/src/protocol/ResponseChannel.h
@@ -27,7 +27,8 @@
     /// Calls the function once if the caller disconnects before stopWatching().
     std::function<void(OnDisconnect)> watchDisconnect;
     std::function<void()> stopWatching;
-    /// Resets the connection; of a pipelined request, ends it unless the request has ended.
+    /// Ends a request that gets no response. Resets its connection; of a pipelined request,
+    /// responds that it failed inside, so that the others get theirs, unless the caller has left.
     std::function<void(DropCause)> abort;
     /// Responds that the request failed inside, in its turn, unless it has a response already; then
     /// the connection ends.
--- a/test/correctness/KeptConnections.cpp
+++ b/test/correctness/KeptConnections.cpp
@@ -95,6 +95,27 @@
     });
 }
 
+// Guards against a request that ends without a response, as one whose coroutine could not start,
+// and takes the finished responses of the others on its connection along.
+TEST(KeptConnections, aRequestThatEndsWithoutAResponseCostsNoOtherItsOwn)
+{
+    served.run([&](TcpSocket &caller, Yield yield) {
+        send(caller, lookup + lookup + lookup, yield);
+        CHECK(becomes(
+            served, [&] { return served.channels.size() == 3; }, yield));
+        served.answer(2, "third");
+        served.channels[1].abort(DropCause::handlerFailed);
+        served.answer(0, "first");
+        std::string received;
+        ErrorCode error;
+        asio::async_read_until(caller, asio::dynamic_buffer(received), "third", yield[error]);
+        checkContains(received, "first");
+        checkContains(received, "HTTP/1.1 500");
+        checkContains(received, "third");
+        LONGS_EQUAL(0, served.dropped);
+    });
+}
+
 // Guards against a connection that is closed as idle although its next request has arrived.
 TEST(KeptConnections, aRequestThatHasArrivedKeepsItsConnectionFromBeingIdle)
 {
--- a/test/processes/test_planned_stop.py
+++ b/test/processes/test_planned_stop.py
@@ -10,6 +10,7 @@
 
 BOOK = "/book/x"
 LONG_BOOK = "/long/x?work=8000000"  # microseconds; longer than a stop may take
+LONG_LOOKUP = "/longlookup/x?work=8000000"
 LONG_TIMEOUT = "20000ms"
 PATIENT_MS = 60_000
 GRACE_S = 6.0
@@ -30,11 +31,12 @@
 
 
 def document_with_long_route():
-    """The usual routes, and one whose requests may last longer than a planned stop."""
+    """The usual routes, and two whose requests may last longer than a planned stop."""
     routes = (("/lookup/", "safe", "catalogue"), ("/book/", "unsafe", "orders"),
-              ("/long/", "unsafe", "orders"))
+              ("/long/", "unsafe", "orders"), ("/longlookup/", "safe", "orders"))
     value = document(2, routes)
-    value["Listeners"][0]["Rules"][2]["Action"]["Timeout"] = LONG_TIMEOUT
+    for rule in value["Listeners"][0]["Rules"][2:]:
+        rule["Action"]["Timeout"] = LONG_TIMEOUT
     return value
 
 
@@ -171,6 +173,52 @@
         self.assertEqual(headers.get("Connection"), "close")
         self.assertTrue(caller.is_closed())
 
+    # Guards against finished responses that a planned stop throws away, since a request before them
+    # on their connection outlasts it.
+    def test_a_response_behind_a_request_that_outlasts_the_stop_is_sent(self):
+        caller = self.connect()
+        long = caller.send(LONG_LOOKUP, deadline_ms=20_000)
+        behind = [caller.send("/lookup/x"), caller.send("/lookup/y")]
+        wait_until(lambda: all(self.runs(i) == 1 for i in [long] + behind), 10, "all to run")
+        time.sleep(0.3)
+        self.stop_entry()
+        self.check_cut(caller)
+        for request_id in behind:
+            status, headers, _ = caller.read()
+            self.assertEqual((status, headers["Kumquatdeal-Request-Id"]), (200, request_id))
+        self.assertEqual(headers.get("Connection"), "close")
+        self.assertTrue(caller.is_closed())
+        self.assertIn(f'"event":332,"request":"{long}"', self.log())
+
+    def check_cut(self, caller):
+        """The next response says that its request may have run, and was not late by much."""
+        began_at = time.monotonic()
+        status, headers, body = caller.read()
+        self.assertEqual((status, headers["Kumquat-Outcome"]), (504, "unknown"))
+        self.assertIn(b"cut-by-stop", body)
+        self.assertLess(time.monotonic() - began_at, GRACE_S)
+
+    # Guards against a booking whose connection ends without a response because it outlasts the stop.
+    def test_a_booking_that_outlasts_the_stop_is_answered(self):
+        caller = self.connect()
+        request_id = caller.send(LONG_BOOK, "POST", b"b", deadline_ms=20_000)
+        wait_until(lambda: self.runs(request_id) == 1, 10, "the booking to run")
+        self.stop_entry()
+        self.check_cut(caller)
+        self.assertEqual(self.entry.stop(), 0)
+
+    # Guards against an upload whose caller stalls when the stop begins, and is cut without a response.
+    def test_an_upload_that_stalls_until_the_end_of_the_stop_is_refused(self):
+        caller = self.connect()
+        caller.socket.sendall(f"POST /long/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 9\r\n"
+                              "Kumquatdeal-Request-Id: 1234abcd00000001\r\n"
+                              "Kumquatdeal-Deadline-Ms: 20000\r\n\r\npart".encode())
+        time.sleep(0.3)
+        self.stop_entry()
+        status, headers, _ = caller.read()
+        self.assertEqual((status, headers["Kumquat-Outcome"]), (503, "not-run"))
+        self.assertEqual(self.runs("1234abcd00000001"), 0)
+
     def test_callers_that_keep_sending_lose_nothing(self):
         callers = [self.connect() for _ in range(4)]
         sent = {caller: [caller.send("/lookup/slow?work=300000")] for caller in callers}
