Requests take the version of their service that is in force, also once it has left

Cause: a request takes the present targets of its service by name; where the configuration has no such service it went on with the version that it began with, in which the targets stay ready for ever.

Change: CurrentService. A service that has left has no targets any more, so that what has not run is refused at once (503) and the rest fails (502). The same on related paths: the choice after load probes, and on the product's own routes, which never looked at a newer version, retries, hedges, requests that wait for a slot, and the target chosen before a key was claimed. Connecting there takes 400 ms at most, as on the platform's routes, so that no target is used long after it was chosen.

--- a/src/coordination/entry/Attempt.cpp
+++ b/src/coordination/entry/Attempt.cpp
@@ -13,8 +13,9 @@
 namespace {
 
 constexpr unsigned firstServerError = 500;
-/// Between two checks whether a planned stop has begun, while a request waits for a target.
-constexpr Milliseconds stopCheckInterval { 50 };
+/// Between two checks whether a planned stop has begun or the service has left the configuration,
+/// while a request waits for a target.
+constexpr Milliseconds waitCheckInterval { 50 };
 
 /// True when nothing listens at the target's address, or its instance cannot be reached.
 bool isRefusal(ErrorCode error)
@@ -205,7 +206,8 @@
     if (!connection) {
         connection = worker.pool.makeConnection(target.address);
         handle.connection = connection.get();
-        const ErrorCode error = connection->connect(options.deadline, yield);
+        const ErrorCode error = connection->connect(
+            std::min(options.deadline, Clock::now() + options.connectWithin), yield);
         if (isRefusal(error)) {
             recordUnreachable(target, Clock::now());
         }
@@ -239,42 +241,48 @@
     return result;
 }
 
-TargetPtr waitForTarget(Worker &worker, const ActiveService &service,
+TargetPtr waitForTarget(Worker &worker, CurrentService &service,
                         const std::vector<std::string> &tried, TimePoint deadline,
                         RefusalReason &reason, Yield yield)
 {
-    const std::size_t maxWaiting = static_cast<std::size_t>(service.configuration.limits.queue);
     while (true) {
         const TimePoint now = Clock::now();
+        service.refresh();
         if (!worker.hooks.mayStart(deadline)) {
             reason = RefusalReason::stopping;
             return nullptr;
         }
-        TargetPtr target = acquireTarget(service, tried, now, worker.random);
+        TargetPtr target = acquireTarget(*service, tried, now, worker.random);
         if (target) {
             return target;
         }
-        if (usableTargetCount(service, now) <= tried.size()) {
+        if (usableTargetCount(*service, now, tried) == 0) {
             reason = RefusalReason::noTarget;
             return nullptr;
         }
-        if (now + expectedWait(service, now) >= deadline) {
+        if (now + expectedWait(*service, now) >= deadline) {
             reason = RefusalReason::overloaded;
             return nullptr;
         }
         const auto waiter = std::make_shared<Waiter>(worker.loop);
-        if (!service.runtime->tryEnqueue(waiter, maxWaiting)) {
+        const auto maxWaiting = static_cast<std::size_t>(service->configuration.limits.queue);
+        if (!service->runtime->tryEnqueue(waiter, maxWaiting)) {
             reason = RefusalReason::overloaded;
             return nullptr;
         }
         ErrorCode ignored;
-        while (!waiter->woken && Clock::now() < deadline && worker.hooks.mayStart(deadline)) {
-            waiter->timer.expires_at(std::min(deadline, Clock::now() + stopCheckInterval));
+        while (!waiter->woken && Clock::now() < deadline && worker.hooks.mayStart(deadline)
+               && service.isConfigured()) {
+            waiter->timer.expires_at(std::min(deadline, Clock::now() + waitCheckInterval));
             waiter->timer.async_wait(yield[ignored]);
         }
         if (!waiter->woken) {
-            service.runtime->dequeue(waiter);
+            service->runtime->dequeue(waiter);
             const bool mayStart = worker.hooks.mayStart(deadline);
+            if (mayStart && !service.isConfigured()) {
+                reason = RefusalReason::noTarget;
+                return nullptr;
+            }
             reason = mayStart ? RefusalReason::overloaded : RefusalReason::stopping;
             return nullptr;
         }
--- a/src/coordination/entry/Attempt.h
+++ b/src/coordination/entry/Attempt.h
@@ -4,6 +4,7 @@
 /// The outcome tells whether the request may have run, which decides whether it may be retried.
 
 #include "common/BodyRoom.h"
+#include "coordination/entry/CurrentService.h"
 #include "coordination/entry/RoutingTable.h"
 #include "coordination/entry/StopNotices.h"
 #include "protocol/Dialect.h"
@@ -98,6 +99,8 @@
 struct AttemptOptions
 {
     TimePoint deadline;
+    /// Bounds how long a target may have been chosen before the request is sent to it.
+    Milliseconds connectWithin { 400 };
     Milliseconds maxIdle { 500 }; ///< an idle connection last used longer ago is not reused
     bool requireNewConnection = false; ///< reuse no idle connection
     std::size_t maxBufferedBytes = 256 * 1024; ///< longer responses are streamed
@@ -116,8 +119,8 @@
                                             Yield yield);
 
 /// Waits until \p deadline for a target that is not in \p tried to have free capacity and acquires
-/// it. Returns null on failure and sets \p reason.
-TargetPtr waitForTarget(Worker &worker, const ActiveService &service,
+/// it. Refreshes \p service. Returns null on failure and sets \p reason.
+TargetPtr waitForTarget(Worker &worker, CurrentService &service,
                         const std::vector<std::string> &tried, TimePoint deadline,
                         RefusalReason &reason, Yield yield);
 
--- a/src/coordination/entry/Call.h
+++ b/src/coordination/entry/Call.h
@@ -13,7 +13,7 @@
 {
     CallerConnection &caller;
     Worker &worker;
-    std::shared_ptr<const ActiveService> service;
+    CurrentService service;
     TimePoint deadline;
     HttpRequest request; ///< as forwarded to the target; without a body for uploads
     std::uint64_t fingerprint = 0;
--- a/src/coordination/entry/EntryHostRoutes.cpp
+++ b/src/coordination/entry/EntryHostRoutes.cpp
@@ -190,8 +190,7 @@
                                worker_,
                                *core_.dialect,
                                route,
-                               routing.nextService(*route),
-                               {},
+                               currentService(routing.nextService(*route)),
                                routing.version,
                                start,
                                {},
@@ -199,9 +198,6 @@
                                std::string(header[names.requestId]),
                                0,
                                organisation };
-    request.currentService = [this, name = request.service->configuration.name] {
-        return core_.routing.read()->findService(name);
-    };
     removeHopByHop(request.request.header, endToEndHeaders(names));
     setOrganisation(request.request.header, names, organisation);
     if (!request.requestId.empty()) {
--- a/src/coordination/entry/EntryWorker.cpp
+++ b/src/coordination/entry/EntryWorker.cpp
@@ -229,12 +229,18 @@
     (void)caller.writeResponse(refusal(reason, RunOutcome::notRun), yield);
 }
 
+CurrentService EntryWorker::currentService(std::shared_ptr<const ActiveService> version) const
+{
+    const std::string name = version->configuration.name;
+    return { std::move(version), [this, name] { return core_.routing.read()->findService(name); } };
+}
+
 void EntryWorker::admit(CallerConnection &caller, const RouteMatch &match, TimePoint deadline,
                         Yield yield)
 {
     const TimePoint start = Clock::now();
     ServiceRuntime &runtime = *match.service->runtime;
-    Call call { caller, worker_, match.service, deadline, {}, 0 };
+    Call call { caller, worker_, currentService(match.service), deadline, {}, 0 };
     ++runtime.counters.requests;
     runtime.retryBudget.deposit();
     if (!core_.stop.mayStart(deadline)) {
--- a/src/coordination/entry/EntryWorker.h
+++ b/src/coordination/entry/EntryWorker.h
@@ -52,6 +52,7 @@
     bool serveReadAhead(CallerConnection &caller, TimePoint start);
     void servePipelined(HostRouteRequest &request, Yield yield);
     void serveHostRoute(CallerConnection &caller, TimePoint start, Yield yield);
+    CurrentService currentService(std::shared_ptr<const ActiveService> version) const;
     HostRouteRequest hostRouteRequest(const http::request_header<> &header,
                                       const RoutingTable &routing, const ActiveRoutePtr &route,
                                       const OrganisationPtr &organisation, TimePoint start);
--- a/src/coordination/entry/HostRouteAdmission.cpp
+++ b/src/coordination/entry/HostRouteAdmission.cpp
@@ -100,7 +100,7 @@
     : request_(request), runtime_(request.service->runtime), enteredAt_(Clock::now())
 {
     const bool isQueued = request.worker.admissions && request.route->queuesRequests;
-    if (!isQueued || !request.currentService()) {
+    if (!isQueued || !request.service.isConfigured()) {
         return;
     }
     HostRouteAdmissions &admissions = *request.worker.admissions;
--- a/src/coordination/entry/HostRouteAttempts.cpp
+++ b/src/coordination/entry/HostRouteAttempts.cpp
@@ -7,14 +7,6 @@
 
 namespace kumquat {
 
-void HostRouteProgress::refreshTargets()
-{
-    auto current = request.currentService();
-    if (current) {
-        request.service = std::move(current);
-    }
-}
-
 void HostRouteProgress::waitUntil(TimePoint until, Yield yield)
 {
     ErrorCode ignored;
@@ -38,7 +30,7 @@
     spawnOn(
         request.worker.loop,
         [attempt](Yield yield) { attempt->result = runExchange(attempt->request, yield); },
-        [attempt, group = progress.group, service = request.service] {
+        [attempt, group = progress.group, service = request.service.version()] {
             attempt->ended = true;
             releaseTarget(*service, *attempt->request.target);
             reportTargetReleased(attempt->request.worker, *service);
--- a/src/coordination/entry/HostRouteCall.h
+++ b/src/coordination/entry/HostRouteCall.h
@@ -5,6 +5,7 @@
 /// run.
 
 #include "coordination/entry/Attempt.h"
+#include "coordination/entry/CurrentService.h"
 #include "protocol/ResponseChannel.h"
 #include "protocol/SharedRequest.h"
 
@@ -20,9 +21,7 @@
     Worker &worker;
     const Dialect &dialect;
     ActiveRoutePtr route;
-    std::shared_ptr<const ActiveService> service;
-    /// The present version of `service`, whose targets may have changed; null when it is gone.
-    std::function<std::shared_ptr<const ActiveService>()> currentService;
+    CurrentService service;
     ConfigurationVersion version; ///< of the configuration that the route comes from
     TimePoint arrival;
     TimePoint deadline; ///< the earlier of the caller's and the route's
--- a/src/coordination/entry/HostRouteExchange.cpp
+++ b/src/coordination/entry/HostRouteExchange.cpp
@@ -17,7 +17,6 @@
 /// A shorter limit for any other request, which cannot be retried when the target closes the
 /// connection while the request is under way.
 constexpr Milliseconds singleRunMaxIdle { 1'000 };
-constexpr Milliseconds connectTimeout { 400 };
 constexpr std::size_t maxResponseBytes = 64 * 1024 * 1024;
 /// The first part of a response's body without a length; the following ones double it.
 constexpr std::size_t firstPartBytes = 16 * 1024;
@@ -87,7 +86,7 @@
 std::unique_ptr<TargetConnection> Exchange::connect(Yield yield)
 {
     AttemptOptions options;
-    options.deadline = std::min(request_.deadline, Clock::now() + connectTimeout);
+    options.deadline = request_.deadline;
     options.maxIdle = request_.idempotent ? idempotentMaxIdle : singleRunMaxIdle;
     // Only its place shows which request a response without an ID answers.
     options.requireNewConnection = request_.requestId.empty();
--- a/src/coordination/entry/HostRouteHedging.cpp
+++ b/src/coordination/entry/HostRouteHedging.cpp
@@ -61,8 +61,8 @@
     if (!budget.canWithdraw(kept)) {
         return;
     }
-    progress.refreshTargets();
     HostRouteRequest &request = progress.request;
+    request.service.refresh();
     const AcquiredTarget other = acquireHedgeTarget(request, progress.tried, cause, yield);
     if (!other.target) {
         return;
--- a/src/coordination/entry/HostRoutePlacement.cpp
+++ b/src/coordination/entry/HostRoutePlacement.cpp
@@ -53,11 +53,12 @@
 BestTarget probeAndSelect(HostRouteRequest &request, PlacementScope scope,
                           const std::vector<std::string> &tried, Yield yield)
 {
-    const ActiveService &service = *request.service;
     std::vector<PlacementCandidate> candidates
-        = placementCandidates(service, scope, tried, Clock::now(), CandidateUse::probe);
-    probeLoad(request.worker, request.dialect, service, targetsToProbe(request, candidates),
-              loadProbeMaxWait, yield);
+        = placementCandidates(*request.service, scope, tried, Clock::now(), CandidateUse::probe);
+    probeLoad(request.worker, request.dialect, *request.service,
+              targetsToProbe(request, candidates), loadProbeMaxWait, yield);
+    request.service.refresh();
+    const ActiveService &service = *request.service;
     candidates = placementCandidates(service, scope, tried, Clock::now());
     if (request.leavesLastSlots) {
         removeWithOneFreeSlot(candidates);
--- a/src/coordination/entry/HostRouteProgress.h
+++ b/src/coordination/entry/HostRouteProgress.h
@@ -48,10 +48,6 @@
     /// The name of the last attempt's target.
     std::string lastTarget() const { return tried.empty() ? "none" : tried.back(); }
 
-    /// Takes the present version of the service: a request may last longer than a target that
-    /// leaves keeps serving.
-    void refreshTargets();
-
     /// Waits until \p until, or until an attempt ends or the caller disconnects.
     void waitUntil(TimePoint until, Yield yield);
 
--- a/src/coordination/entry/HostRouteSearch.cpp
+++ b/src/coordination/entry/HostRouteSearch.cpp
@@ -47,7 +47,7 @@
     AdmissionPlace place(request, until - placementRetryInterval,
                          [group] { group->signal.cancel(); });
     while (!group->disconnected && progress.mayStart()) {
-        progress.refreshTargets();
+        request.service.refresh();
         const AdmissionDecision decision = place.decide(Clock::now());
         if (decision == AdmissionDecision::refuse) {
             return giveUp(progress, place, RefusalReason::overloaded);
--- a/src/coordination/entry/IdempotentCall.cpp
+++ b/src/coordination/entry/IdempotentCall.cpp
@@ -93,11 +93,11 @@
     const auto result = std::make_shared<AttemptResult>();
     spawnOn(
         call_.worker.loop,
-        [&worker = call_.worker, service = call_.service, target, request = request_, options,
-         handle, result](Yield yield) {
+        [&worker = call_.worker, service = call_.service.version(), target, request = request_,
+         options, handle, result](Yield yield) {
             *result = runAttempt(worker, *service, target, *request, options, *handle, yield);
         },
-        [service = call_.service, target, result, group = group_] {
+        [service = call_.service.version(), target, result, group = group_] {
             --group->running;
             const bool neverRan = !result->target;
             const bool isUnwanted = group->finished && result->outcome == AttemptOutcome::streaming;
@@ -118,8 +118,8 @@
         || Clock::now() >= call_.deadline || !runtime_.retryBudget.tryWithdraw()) {
         return false;
     }
-    const TargetPtr target = waitForTarget(call_.worker, *call_.service, tried_, call_.deadline,
-                                           refusalReason_, yield);
+    const TargetPtr target
+        = waitForTarget(call_.worker, call_.service, tried_, call_.deadline, refusalReason_, yield);
     if (!target) {
         return false;
     }
@@ -147,8 +147,8 @@
         pauseFor(call_.worker.loop, backoff, yield);
         tried_.clear();
     }
-    const TargetPtr target = waitForTarget(call_.worker, *call_.service, tried_, call_.deadline,
-                                           refusalReason_, yield);
+    const TargetPtr target
+        = waitForTarget(call_.worker, call_.service, tried_, call_.deadline, refusalReason_, yield);
     if (!target) {
         return false;
     }
@@ -163,6 +163,7 @@
     if (attempts >= call_.service->configuration.retry.maxAttempts) {
         return false;
     }
+    call_.service.refresh();
     const TargetPtr target
         = acquireTarget(*call_.service, tried_, Clock::now(), call_.worker.random);
     if (!target) {
@@ -222,8 +223,8 @@
 
 void IdempotentCall::run(Yield yield)
 {
-    const TargetPtr first = waitForTarget(call_.worker, *call_.service, tried_, call_.deadline,
-                                          refusalReason_, yield);
+    const TargetPtr first
+        = waitForTarget(call_.worker, call_.service, tried_, call_.deadline, refusalReason_, yield);
     if (!first) {
         refuse(call_, refusalReason_, RunOutcome::notRun, yield);
         return;
--- a/src/coordination/entry/OnceCall.cpp
+++ b/src/coordination/entry/OnceCall.cpp
@@ -90,7 +90,7 @@
     void releaseAndRefuse(RefusalReason reason, Yield yield);
 
     Worker &worker_;
-    std::shared_ptr<const ActiveService> service_;
+    CurrentService service_;
     TimePoint deadline_;
     HttpRequest request_;
     std::shared_ptr<OnceState> state_;
@@ -107,7 +107,7 @@
 
 TargetPtr OnceDispatch::nextTarget(RefusalReason &reason, Yield yield)
 {
-    TargetPtr target = waitForTarget(worker_, *service_, tried_, deadline_, reason, yield);
+    TargetPtr target = waitForTarget(worker_, service_, tried_, deadline_, reason, yield);
     if (target) {
         tried_.push_back(target->record.name);
     }
@@ -214,7 +214,7 @@
 void OnceDispatch::run(Yield yield)
 {
     RefusalReason reason = RefusalReason::noTarget;
-    const TargetPtr target = nextTarget(reason, yield);
+    TargetPtr target = nextTarget(reason, yield);
     if (!target) {
         refuse(reason, RunOutcome::notRun);
         return;
@@ -232,10 +232,17 @@
         releaseAndRefuse(RefusalReason::stopping, yield);
         return;
     }
-    // During the claim the caller may have been refused or the target may have become unusable.
-    if (state_->abandoned || !isUsable(*target, Clock::now())) {
+    // During the claim the target may have left, and the caller may have been refused.
+    service_.refresh();
+    if (!hasUsable(*service_, *target, Clock::now())) {
         releaseTarget(*service_, *target);
-        releaseAndRefuse(RefusalReason::noTarget, yield);
+        target = nextTarget(reason, yield);
+    }
+    if (!target || state_->abandoned) {
+        if (target) {
+            releaseTarget(*service_, *target);
+        }
+        releaseAndRefuse(reason, yield);
         return;
     }
     dispatch(target, yield);
--- a/src/coordination/entry/ServiceRuntime.cpp
+++ b/src/coordination/entry/ServiceRuntime.cpp
@@ -224,14 +224,24 @@
     service.runtime->wakeOne();
 }
 
-std::size_t usableTargetCount(const ActiveService &service, TimePoint now)
+std::size_t usableTargetCount(const ActiveService &service, TimePoint now,
+                              const std::vector<std::string> &tried)
 {
-    return static_cast<std::size_t>(std::count_if(
-        service.targets.begin(), service.targets.end(), [&service, now](const TargetPtr &target) {
-            return isUsable(*target, now) && maySend(service, *target, now);
+    return static_cast<std::size_t>(
+        std::count_if(service.targets.begin(), service.targets.end(), [&](const TargetPtr &target) {
+            return isUsable(*target, now) && maySend(service, *target, now)
+                && !contains(tried, target->record.name);
         }));
 }
 
+bool hasUsable(const ActiveService &service, const Target &target, TimePoint now)
+{
+    return std::any_of(service.targets.begin(), service.targets.end(),
+                       [&target, now](const TargetPtr &present) {
+                           return present->stats == target.stats && isUsable(*present, now);
+                       });
+}
+
 bool hasUntriedTarget(const ActiveService &service, const std::vector<std::string> &tried,
                       TimePoint now)
 {
--- a/src/coordination/entry/ServiceRuntime.h
+++ b/src/coordination/entry/ServiceRuntime.h
@@ -130,8 +130,12 @@
 /// Ends a request's count at \p target and wakes the next waiting request.
 void releaseTarget(const ActiveService &service, const Target &target);
 
-/// Targets that may get requests now, whatever their load.
-std::size_t usableTargetCount(const ActiveService &service, TimePoint now);
+/// Targets that may get requests now, whatever their load, and are not in \p tried.
+std::size_t usableTargetCount(const ActiveService &service, TimePoint now,
+                              const std::vector<std::string> &tried = {});
+
+/// True when \p target is one of the service's, in the same incarnation, and may get requests.
+bool hasUsable(const ActiveService &service, const Target &target, TimePoint now);
 
 /// True when a target that is not in \p tried may get requests now, whatever its load.
 bool hasUntriedTarget(const ActiveService &service, const std::vector<std::string> &tried,
--- a/src/coordination/entry/SuspectRequests.cpp
+++ b/src/coordination/entry/SuspectRequests.cpp
@@ -19,6 +19,7 @@
 {
     AttemptOptions options;
     options.deadline = deadline;
+    options.connectWithin = healthCheckTimeout;
     options.requireNewConnection = true;
     AttemptHandle handle;
     const auto connection = connectTo(worker, target, options, handle, yield);
--- a/src/coordination/entry/UploadCall.cpp
+++ b/src/coordination/entry/UploadCall.cpp
@@ -132,7 +132,7 @@
     const auto subscription = call.worker.stopNotices.subscribe([&handle] { handle.cancel(); });
     // A target that cannot be connected to is skipped: no byte of the body has been read yet.
     while (!connection) {
-        target = waitForTarget(call.worker, *call.service, tried, call.deadline, reason, yield);
+        target = waitForTarget(call.worker, call.service, tried, call.deadline, reason, yield);
         if (!target) {
             refuse(call, reason, RunOutcome::notRun, yield);
             return;
--- a/test/HostRouteFixture.h
+++ b/test/HostRouteFixture.h
@@ -17,6 +17,7 @@
     Worker worker { loop, hooks, 96 * 1024 * 1024, 1 };
     std::shared_ptr<ActiveService> service = std::make_shared<ActiveService>();
     std::shared_ptr<ActiveRoute> route = std::make_shared<ActiveRoute>();
+    bool isConfigured = true; ///< the present configuration has the service
     Dialect dialect = platform::dialectNamed("platform");
 
     void setUpRoute(RequestKind kind, Milliseconds objective, Milliseconds timeout)
@@ -54,10 +55,17 @@
         caller.stopWatching = [] {};
         caller.abort = [](DropCause) {};
         const TimePoint now = Clock::now();
-        HostRouteRequest request { caller,  worker,  dialect,
-                                   route,   service, [this] { return service; },
-                                   {},      now,     now + route->configuration.timeout,
-                                   message, id,      0 };
+        HostRouteRequest request { caller,
+                                   worker,
+                                   dialect,
+                                   route,
+                                   { service, [this] { return isConfigured ? service : nullptr; } },
+                                   {},
+                                   now,
+                                   now + route->configuration.timeout,
+                                   message,
+                                   id,
+                                   0 };
         serveHostRouteRequest(request, yield);
         return got;
     }
--- a/test/correctness/PlannedStop.cpp
+++ b/test/correctness/PlannedStop.cpp
@@ -59,7 +59,8 @@
     RefusalReason reason = RefusalReason::noTarget;
     bool ended = false;
     spawnOn(loop, [&](Yield yield) {
-        CHECK_FALSE(waitForTarget(worker, service, {}, Clock::now() + Seconds(60), reason, yield));
+        CurrentService current(std::shared_ptr<ActiveService>(&service, [](auto *) {}));
+        CHECK_FALSE(waitForTarget(worker, current, {}, Clock::now() + Seconds(60), reason, yield));
         ended = true;
         loop.stop();
     });
