Bound what a target that sends without end takes from an entry

What callers saw (an operator's report, shown here): with load probes answered by chunks of one byte and long extensions without end, lookups of another service at the same entry timed out (slowest 5.0 s, 51 of 300 callers got nothing). Requests to such targets were read for the whole 3 s of their route (2.7 GB for 300), and at 112 MB, the smallest instance, the entry's memory came to 107.8 MB.

Cause: limits counted bodies, not what frames them, and a probe's response is read without suspending. Growing bodies left uncounted blocks in the heap; probes, health checks and the product's own routes held responses outside of the memory for bodies.

Change: a response with more than 64 KiB and twice its body beside the body is none (502 at once). Probes and health checks keep 16 KB; a growing body takes twice its room; own routes ask for room beyond 16 KB and stream what has none; the internal port's bodies take an eighth of the memory.

--- a/src/coordination/entry/Attempt.cpp
+++ b/src/coordination/entry/Attempt.cpp
@@ -13,6 +13,10 @@
 namespace {
 
 constexpr unsigned firstServerError = 500;
+/// Of a response's body, held without asking for room.
+constexpr std::size_t firstPartBytes = 16 * 1024;
+/// The room that a growing body takes, as a multiple of its own.
+constexpr std::size_t growthFactor = 2;
 /// Between two checks whether a planned stop has begun or the service has left the configuration,
 /// while a request waits for a target.
 constexpr Milliseconds waitCheckInterval { 50 };
@@ -63,7 +67,7 @@
 }
 
 AttemptOutcome sendAndReceive(TargetConnection &connection, const HttpRequest &request,
-                              const AttemptOptions &options, HttpResponse &response,
+                              const AttemptOptions &options, HttpResponse &response, HeldRoom &held,
                               ErrorCode &error, Yield yield)
 {
     connection.setDeadline(options.deadline);
@@ -74,7 +78,7 @@
     }
     std::string body;
     if (!error) {
-        error = connection.readBody(body, options.maxBufferedBytes, yield);
+        error = readBuffered(connection, body, options.maxBufferedBytes, held, yield);
     }
     if (error) {
         return outcomeOf(error);
@@ -151,8 +155,9 @@
     std::unique_ptr<TargetConnection> connection
         = connectTo(worker, *target, options, handle, yield);
     if (connection) {
-        result.outcome
-            = sendAndReceive(*connection, request, options, result.response, error, yield);
+        result.held = std::make_shared<HeldRoom>(worker.responseBytes);
+        result.outcome = sendAndReceive(*connection, request, options, result.response,
+                                        *result.held, error, yield);
     }
     handle.connection = nullptr;
     if (!handle.cancelled) {
@@ -193,6 +198,20 @@
     }
 }
 
+ErrorCode readBuffered(TargetConnection &connection, std::string &body, std::size_t limit,
+                       HeldRoom &held, Yield yield)
+{
+    ErrorCode error;
+    while (!error && !connection.isResponseComplete() && body.size() < limit) {
+        const std::size_t next = std::min(limit, std::max(firstPartBytes, 2 * body.size()));
+        if (next > firstPartBytes && !held.growTo(growthFactor * next)) {
+            break;
+        }
+        error = connection.readBody(body, next, yield);
+    }
+    return error;
+}
+
 std::unique_ptr<TargetConnection> connectTo(Worker &worker, const Target &target,
                                             const AttemptOptions &options, AttemptHandle &handle,
                                             Yield yield)
--- a/src/coordination/entry/Attempt.h
+++ b/src/coordination/entry/Attempt.h
@@ -56,7 +56,7 @@
     asio::io_context &loop;
     TargetConnectionPool pool;
     BodyRoom requestBytes; ///< of all requests' bodies that are held
-    BodyRoom responseBytes; ///< of all responses of host routes, until they are written
+    BodyRoom responseBytes; ///< of all responses' bodies, until they are written
     Random random;
     const EntryHooks &hooks;
     StopNotices stopNotices; ///< for the requests of this worker
@@ -86,6 +86,7 @@
     HttpResponse response;
     std::unique_ptr<TargetConnection> connection; ///< set only when `streaming`
     TargetPtr target;
+    std::shared_ptr<HeldRoom> held; ///< the room of the response's body, until it is written
 };
 
 /// Cancels a running attempt by closing its connection.
@@ -103,7 +104,8 @@
     Milliseconds connectWithin { 400 };
     Milliseconds maxIdle { 500 }; ///< an idle connection last used longer ago is not reused
     bool requireNewConnection = false; ///< reuse no idle connection
-    std::size_t maxBufferedBytes = 256 * 1024; ///< longer responses are streamed
+    /// Longer responses are streamed, shorter ones too where there is no room for them.
+    std::size_t maxBufferedBytes = 256 * 1024;
     std::uint64_t fingerprint = 0;
 };
 
@@ -113,6 +115,11 @@
                          const HttpRequest &request, const AttemptOptions &options,
                          AttemptHandle &handle, Yield yield);
 
+/// Reads up to \p limit bytes of a response's body, or what there is room for; without any, the
+/// first part. The rest can be streamed.
+ErrorCode readBuffered(TargetConnection &connection, std::string &body, std::size_t limit,
+                       HeldRoom &held, Yield yield);
+
 /// An idle or a new connection to \p target; null when none can be opened or the target rests.
 std::unique_ptr<TargetConnection> connectTo(Worker &worker, const Target &target,
                                             const AttemptOptions &options, AttemptHandle &handle,
--- a/src/coordination/entry/Call.cpp
+++ b/src/coordination/entry/Call.cpp
@@ -4,7 +4,9 @@
 
 namespace {
 
-constexpr std::size_t relayChunkBytes = 256 * 1024;
+/// Read of a streamed response before it is written; the smaller one without room.
+constexpr std::size_t relayPartBytes = 256 * 1024;
+constexpr std::size_t smallRelayPartBytes = 16 * 1024;
 
 } // namespace
 
@@ -21,6 +23,9 @@
     ErrorCode targetError;
     ErrorCode callerError
         = call.caller.writeHeader(result.response.base(), connection.contentLength(), yield);
+    HeldRoom held(call.worker.responseBytes);
+    const std::size_t partBytes
+        = held.growTo(relayPartBytes) ? relayPartBytes : smallRelayPartBytes;
     bool isWhole = false;
     while (!callerError && !targetError && !isWhole) {
         isWhole = connection.isResponseComplete();
@@ -28,7 +33,7 @@
         if (!callerError && !isWhole) {
             part.clear();
             connection.setDeadline(Clock::now() + call.service->configuration.uploadIdleTimeout);
-            targetError = connection.readBody(part, relayChunkBytes, yield);
+            targetError = connection.readBody(part, partBytes, yield);
         }
     }
     if (callerError || targetError) {
--- a/src/coordination/entry/EntryCoordinator.cpp
+++ b/src/coordination/entry/EntryCoordinator.cpp
@@ -1,5 +1,6 @@
 #include "coordination/entry/EntryCoordinator.h"
 
+#include "common/InstanceMemory.h"
 #include "common/JsonReader.h"
 #include "common/MetricsPage.h"
 #include "kumquat/Event.h"
@@ -10,12 +11,17 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 
 namespace kumquat {
 
 namespace {
 
 constexpr int ticksPerLeaseCheck = 5;
+/// The internal port's bodies take this part of the memory in each budget.
+constexpr std::size_t announcementShares = 8;
+/// Of a response to a health check, of which only the status counts.
+constexpr std::size_t maxHealthResponseBytes = 16 * 1024;
 /// After a process pause, an entry that no peer has updated within this time serves again.
 constexpr Milliseconds refreshTimeout { 400 };
 
@@ -37,7 +43,7 @@
                                    std::shared_ptr<std::atomic<std::size_t>> leaderPosition)
     : core_(core), settings_(std::move(settings)), settingsWatch_(settingsFile),
       authenticator_(std::move(authenticator)), datagrams_(loop_, authenticator_),
-      probeClient_(loop_, nullptr), memberClient_(loop_, authenticator_),
+      probeClient_(loop_, nullptr, maxHealthResponseBytes), memberClient_(loop_, authenticator_),
       control_(loop_, authenticator_, parseAddresses(settings_.controlMembers),
                std::move(leaderPosition)),
       healthProbeBudget_(configuration_.probesPerSecond, healthProbeBurst)
@@ -73,8 +79,12 @@
         openFeed();
     }
     openQuota();
+    HttpServerLimits limits;
+    limits.totalBodyBytes = std::min(
+        limits.totalBodyBytes, usableMemoryBytes(settings_.memoryLimitMb) / announcementShares);
     server_ = std::make_shared<HttpServer>(
-        loop_, [this](const HttpRequest &request, Yield yield) { return handle(request, yield); });
+        loop_, [this](const HttpRequest &request, Yield yield) { return handle(request, yield); },
+        limits);
     core_.hooks.suspectRequest = [this](std::uint64_t fingerprint, const std::string &target) {
         asio::post(loop_, [this, suspicion = RequestSuspicion { fingerprint, target }] {
             if (followsFeed()) {
--- a/src/coordination/entry/HostRouteExchange.cpp
+++ b/src/coordination/entry/HostRouteExchange.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t maxResponseBytes = 64 * 1024 * 1024;
 /// The first part of a response's body without a length; the following ones double it.
 constexpr std::size_t firstPartBytes = 16 * 1024;
+/// The room that a growing body takes, as a multiple of its own.
+constexpr std::size_t growthFactor = 2;
 /// A response waits for room for at most the time left divided by this.
 constexpr int roomWaitDivisor = 2;
 /// Between two checks whether other responses have made room.
@@ -224,10 +226,11 @@
     return error;
 }
 
-// One of unknown length does not wait, since it holds some room already.
+// One of unknown length does not wait, since it holds some room already. While it grows it takes
+// twice its room: the smaller blocks that it has left behind are not of use to every other body.
 ErrorCode Exchange::growBody(std::string &body)
 {
-    if (body.size() < result_.held->held()) {
+    if (body.size() < body.capacity() && result_.held->held() > 0) {
         return {};
     }
     if (body.size() >= maxResponseBytes) {
@@ -235,7 +238,7 @@
     }
     const std::size_t next
         = std::min(maxResponseBytes, std::max(firstPartBytes, 2 * body.capacity()));
-    if (!result_.held->growTo(next)) {
+    if (!result_.held->growTo(growthFactor * next)) {
         return asio::error::no_memory;
     }
     body.reserve(next);
@@ -250,7 +253,7 @@
     while (!error && !connection_->isResponseComplete()) {
         error = growBody(body);
         if (!error) {
-            error = connection_->readBody(body, result_.held->held(), yield);
+            error = connection_->readBody(body, body.capacity(), yield);
         }
     }
     body.shrink_to_fit();
--- a/src/coordination/entry/IdempotentCall.cpp
+++ b/src/coordination/entry/IdempotentCall.cpp
@@ -61,6 +61,7 @@
     std::shared_ptr<const HttpRequest> request_;
     std::vector<std::string> tried_;
     std::optional<HttpResponse> lastResponse_;
+    std::shared_ptr<HeldRoom> lastHeld_; ///< the room of its body
     TimePoint hedgeAt_;
     RefusalReason refusalReason_ = RefusalReason::retriesExhausted;
     int failures_ = 0;
@@ -198,6 +199,7 @@
     if (completed) {
         const bool failed = result.response.result_int() >= firstServerError;
         lastResponse_ = std::move(result.response);
+        lastHeld_ = std::move(result.held);
         if (!failed) {
             return true;
         }
--- a/src/coordination/entry/LoadProbe.cpp
+++ b/src/coordination/entry/LoadProbe.cpp
@@ -12,6 +12,8 @@
 
 /// A target that does not respond to a probe within this time is marked unresponsive.
 constexpr Milliseconds loadProbeTimeout { 150 };
+/// What a probe asks for is in the header; a longer body only ends the connection.
+constexpr std::size_t maxProbeBodyBytes = 16 * 1024;
 /// One of many entries probes a target seldom, and opening a connection takes most of the time that
 /// a request waits for its probes.
 constexpr Milliseconds maxIdle { 12'000 };
@@ -69,7 +71,7 @@
     std::string body;
     if (!error) {
         recordStatements(*target, dialect, connection->header(), worker.random, Clock::now());
-        error = connection->readShortBody(body, options.maxBufferedBytes, yield);
+        error = connection->readShortBody(body, maxProbeBodyBytes, yield);
     }
     handle.connection = nullptr;
     if (error) {
--- a/src/coordination/entry/OnceCall.cpp
+++ b/src/coordination/entry/OnceCall.cpp
@@ -32,6 +32,7 @@
 
     Timer signal;
     HttpResponse response;
+    std::shared_ptr<HeldRoom> held; ///< the room of its body
     bool finished = false;
     bool dispatched = false;
     bool keyHeldElsewhere = false; ///< another attempt of the request holds the key
@@ -171,6 +172,7 @@
     }
     const bool storable = result.response.body().size() <= maxStoredResponseBytes;
     onceRequest_.response = storable ? toStoredResponse(result.response) : StoredResponse();
+    state_->held = std::move(result.held);
     state_->finish(std::move(result.response));
     sendOperation(storable ? OnceOperation::complete : OnceOperation::markUnknown, completeTimeout,
                   yield);
--- a/src/coordination/entry/UploadCall.cpp
+++ b/src/coordination/entry/UploadCall.cpp
@@ -80,8 +80,9 @@
     connection->setDeadline(isEarly ? std::max(call.deadline, idleEnd) : call.deadline);
     ErrorCode error = connection->readHeader(false, yield);
     std::string body;
+    HeldRoom held(call.worker.responseBytes);
     if (!error) {
-        error = connection->readBody(body, AttemptOptions().maxBufferedBytes, yield);
+        error = readBuffered(*connection, body, AttemptOptions().maxBufferedBytes, held, yield);
     }
     handle.connection = nullptr;
     if (error && handle.cancelled) {
--- a/src/protocol/TargetConnection.cpp
+++ b/src/protocol/TargetConnection.cpp
@@ -17,8 +17,17 @@
 
 constexpr std::size_t maxHeaderBytes = 32 * 1024;
 constexpr std::size_t bodyPartBytes = 64 * 1024;
+/// Received at a time of a body.
+constexpr std::size_t minReadBytes = 512;
+constexpr std::size_t maxReadBytes = 16 * 1024;
+/// An idle connection keeps a buffer of this size.
+constexpr std::size_t maxIdleBufferBytes = 4 * 1024;
 constexpr unsigned unackedTimeoutMs = 5'000;
 constexpr int maxInterimResponses = 8; // per request
+/// What a body may have beside it: so much, and this many times its own length, since a chunk of a
+/// few bytes has a line of its own.
+constexpr std::uint64_t minFramingLimit = 64 * 1024;
+constexpr std::uint64_t maxFramingPerByte = 2;
 constexpr std::size_t maxInterimBytes = 4 * 1024;
 constexpr unsigned firstStatus = 100;
 constexpr unsigned firstFinalStatus = 200;
@@ -172,23 +181,24 @@
 ErrorCode TargetConnection::readBody(std::string &body, std::size_t limit, Yield yield)
 {
     return readBodyBy(
-        [&](Parser &parser, ErrorCode &error) {
-            http::async_read(stream_, buffer_, parser, yield[error]);
+        [&](InputBuffer input, ErrorCode &error) {
+            return stream_.async_read_some(input, yield[error]);
         },
         body, limit);
 }
 
 // Calls \p read, which sets \p error, until it needs no more input.
 template <typename Read>
-void TargetConnection::readWhenReady(Read &&read, ErrorCode &error, Yield yield)
+std::size_t TargetConnection::readWhenReady(Read &&read, ErrorCode &error, Yield yield)
 {
-    read();
+    std::size_t bytes = read();
     while (error == asio::error::would_block) {
         waitForInput(error, yield);
         if (!error) {
-            read();
+            bytes = read();
         }
     }
+    return bytes;
 }
 
 ErrorCode TargetConnection::readShortHeader(Yield yield)
@@ -201,8 +211,9 @@
     }
     return readHeaderBy(
         [&](Parser &parser, ErrorCode &result) {
-            readWhenReady([&] { http::read_header(stream_.socket(), buffer_, parser, result); },
-                          result, yield);
+            (void)readWhenReady(
+                [&] { return http::read_header(stream_.socket(), buffer_, parser, result); },
+                result, yield);
         },
         false);
 }
@@ -210,9 +221,9 @@
 ErrorCode TargetConnection::readShortBody(std::string &body, std::size_t limit, Yield yield)
 {
     return readBodyBy(
-        [&](Parser &parser, ErrorCode &result) {
-            readWhenReady([&] { http::read(stream_.socket(), buffer_, parser, result); }, result,
-                          yield);
+        [&](InputBuffer input, ErrorCode &result) {
+            return readWhenReady([&] { return stream_.socket().read_some(input, result); }, result,
+                                 yield);
         },
         body, limit);
 }
@@ -222,7 +233,7 @@
     stream_.socket().async_wait(TcpSocket::wait_read, yield[error]);
 }
 
-ErrorCode TargetConnection::readHeaderBy(const ReadStep &read, bool isHeadRequest)
+ErrorCode TargetConnection::readHeaderBy(const ReadHeader &read, bool isHeadRequest)
 {
     ErrorCode error;
     for (int interim = 0; interim <= maxInterimResponses; ++interim) {
@@ -231,6 +242,8 @@
         parser_->header_limit(maxHeaderBytes);
         parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
         parser_->skip(isHeadRequest);
+        bodyBytes_ = 0;
+        framingBytes_ = 0;
         read(*parser_, error);
         if (error) {
             return error;
@@ -261,20 +274,18 @@
     }
 }
 
-ErrorCode TargetConnection::readBodyBy(const ReadStep &read, std::string &body, std::size_t limit)
+ErrorCode TargetConnection::readBodyBy(const Receive &receive, std::string &body, std::size_t limit)
 {
     ErrorCode error;
+    parser_->eager(true);
     while (!parser_->is_done() && body.size() < limit) {
         const std::size_t before = body.size();
         const std::size_t expected = parser_->content_length_remaining().value_or(bodyPartBytes);
         body.resize(std::min(limit, before + std::min(expected, bodyPartBytes)));
         parser_->get().body().data = body.data() + before;
         parser_->get().body().size = body.size() - before;
-        read(*parser_, error);
+        error = readPartBy(receive);
         body.resize(body.size() - parser_->get().body().size);
-        if (error == http::error::need_buffer) {
-            error = {};
-        }
         if (error) {
             return error;
         }
@@ -282,10 +293,71 @@
     if (!parser_->is_done()) {
         return error;
     }
+    if (buffer_.size() == 0 && buffer_.capacity() > maxIdleBufferBytes) {
+        buffer_.shrink_to_fit();
+    }
     lastResponseAt_ = Clock::now();
     return isCutShort() ? http::error::partial_message : error;
 }
 
+// Reads until the parser's part of the body is full or the response is complete.
+ErrorCode TargetConnection::readPartBy(const Receive &receive)
+{
+    ErrorCode error;
+    while (!error && !parser_->is_done() && parser_->get().body().size > 0) {
+        error = parseBody();
+        if (error == http::error::need_more) {
+            error = receiveBody(receive);
+        }
+    }
+    return error == http::error::need_buffer ? ErrorCode() : error;
+}
+
+// Fails with http::error::need_more when nothing that was received can be parsed.
+ErrorCode TargetConnection::parseBody()
+{
+    if (buffer_.size() == 0) {
+        return http::error::need_more;
+    }
+    ErrorCode error;
+    const std::size_t room = parser_->get().body().size;
+    const std::size_t parsed = parser_->put(buffer_.data(), error);
+    const std::size_t received = room - parser_->get().body().size;
+    buffer_.consume(parsed);
+    bodyBytes_ += received;
+    framingBytes_ += parsed - std::min(parsed, received);
+    if (isMostlyFraming() && (!error || error == http::error::need_more)) {
+        error = http::error::bad_chunk;
+    }
+    return error;
+}
+
+ErrorCode TargetConnection::receiveBody(const Receive &receive)
+{
+    const std::size_t free = buffer_.max_size() - buffer_.size();
+    if (free == 0) {
+        return http::error::buffer_overflow;
+    }
+    ErrorCode error;
+    const std::uint64_t expected
+        = parser_->content_length_remaining().value_or(2 * buffer_.capacity());
+    const auto wanted
+        = static_cast<std::size_t>(std::clamp<std::uint64_t>(expected, minReadBytes, maxReadBytes));
+    buffer_.commit(receive(buffer_.prepare(std::min(free, wanted)), error));
+    if (error == asio::error::eof) {
+        error = {};
+        parser_->put_eof(error);
+    }
+    return error;
+}
+
+// Such a response may have no end, and would take processor time and bandwidth from others until
+// its deadline.
+bool TargetConnection::isMostlyFraming() const
+{
+    return framingBytes_ > minFramingLimit + maxFramingPerByte * bodyBytes_;
+}
+
 // RFC 2068, section 19.7.1.1: `Keep-Alive: timeout=5, max=100`.
 void TargetConnection::recordIdleTimeout()
 {
--- a/src/protocol/TargetConnection.h
+++ b/src/protocol/TargetConnection.h
@@ -41,7 +41,8 @@
     ErrorCode readHeader(bool isHeadRequest, Yield yield);
 
     /// Appends to \p body until the response is complete or \p body holds \p limit bytes. Fails
-    /// when the body ends with the connection before the request is sent whole.
+    /// when the body ends with the connection before the request is sent whole, and with
+    /// http::error::bad_chunk when much more than the body comes beside it.
     ErrorCode readBody(std::string &body, std::size_t limit, Yield yield);
 
     /// As readHeader() and readBody(), in fewer system calls for a response that arrives whole. No
@@ -85,15 +86,22 @@
     };
 
     using Parser = http::response_parser<http::buffer_body>;
-    /// Reads into the buffer and the parser until the header, or a part of the body, is parsed.
-    using ReadStep = std::function<void(Parser &, ErrorCode &)>;
+    using InputBuffer = beast::flat_buffer::mutable_buffers_type;
+    /// Reads into the buffer and the parser until the header is parsed.
+    using ReadHeader = std::function<void(Parser &, ErrorCode &)>;
+    /// Receives something of the body and returns the number of bytes.
+    using Receive = std::function<std::size_t(InputBuffer, ErrorCode &)>;
 
     void startRequest();
     void waitForInput(ErrorCode &error, Yield yield);
     template <typename Read>
-    void readWhenReady(Read &&read, ErrorCode &error, Yield yield);
-    ErrorCode readHeaderBy(const ReadStep &read, bool isHeadRequest);
-    ErrorCode readBodyBy(const ReadStep &read, std::string &body, std::size_t limit);
+    std::size_t readWhenReady(Read &&read, ErrorCode &error, Yield yield);
+    ErrorCode readHeaderBy(const ReadHeader &read, bool isHeadRequest);
+    ErrorCode readBodyBy(const Receive &receive, std::string &body, std::size_t limit);
+    ErrorCode readPartBy(const Receive &receive);
+    ErrorCode parseBody();
+    ErrorCode receiveBody(const Receive &receive);
+    bool isMostlyFraming() const;
     bool isCutShort() const;
     bool skipInterim();
     void keepHeader();
@@ -111,6 +119,8 @@
     std::optional<Milliseconds> idleTimeout_; ///< as the target's last response states it
     int requestsSent_ = 0;
     bool isRequestSent_ = false; ///< whole
+    std::uint64_t bodyBytes_ = 0; ///< of the present response
+    std::uint64_t framingBytes_ = 0; ///< what frames the chunks of its body, and its trailer
     std::shared_ptr<InputWatch> inputWatch_ = std::make_shared<InputWatch>();
 };
 
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -38,8 +38,9 @@
     return authenticator.verify(std::string(request[authHeader]), signedText(request));
 }
 
-HttpClient::HttpClient(asio::io_context &context, std::shared_ptr<Authenticator> authenticator)
-    : context_(context), authenticator_(std::move(authenticator))
+HttpClient::HttpClient(asio::io_context &context, std::shared_ptr<Authenticator> authenticator,
+                       std::size_t bodyLimit)
+    : context_(context), authenticator_(std::move(authenticator)), bodyLimit_(bodyLimit)
 {
 }
 
@@ -63,7 +64,10 @@
     ErrorCode error;
     http::async_write(connection.stream, request, yield[error]);
     if (!error) {
-        http::async_read(connection.stream, connection.buffer, response, yield[error]);
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(bodyLimit_);
+        http::async_read(connection.stream, connection.buffer, parser, yield[error]);
+        response = parser.release();
     }
     return error;
 }
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -15,8 +15,13 @@
 class HttpClient
 {
 public:
-    /// \p authenticator may be null; then requests are not signed.
-    HttpClient(asio::io_context &context, std::shared_ptr<Authenticator> authenticator);
+    /// The longest body of a response unless the constructor is told another.
+    static constexpr std::size_t maxBodyBytes = 8 * 1024 * 1024;
+
+    /// \p authenticator may be null; then requests are not signed. A response with more than
+    /// \p bodyLimit bytes is none.
+    HttpClient(asio::io_context &context, std::shared_ptr<Authenticator> authenticator,
+               std::size_t bodyLimit = maxBodyBytes);
 
     /// Posts \p body to \p path. Fails with ErrorKind::unavailable or ErrorKind::timedOut; after
     /// either, the peer may still have executed the request.
@@ -41,6 +46,7 @@
 
     asio::io_context &context_;
     std::shared_ptr<Authenticator> authenticator_;
+    const std::size_t bodyLimit_;
     std::map<Address, std::vector<std::unique_ptr<Connection>>> idleConnections_;
 };
 
--- a/test/processes/platform_fleet.py
+++ b/test/processes/platform_fleet.py
@@ -97,6 +97,10 @@
         """A separate internal port for each process; a deployment has one for each instance."""
         return 9301 + self.base + int(name.split('-')[1])
 
+    def render_settings(self, template, fields):
+        """The settings of a process; a subclass may add to them."""
+        return render(template, fields)
+
     def rewrite_settings(self, name, template, seeds):
         """Renders the settings of a running entry again with other seed nodes."""
         i = int(name[-1])
@@ -109,7 +113,7 @@
         fields = dict(self.template_fields(name, first_start), ListenAddresses=listen)
         path = os.path.join(self.folder, name + ".json")
         with open(path, "w") as file:
-            file.write(render(template, fields))
+            file.write(self.render_settings(template, fields))
         self.processes[name] = Process(
             name, [os.path.join(self.build, program), "--settings", path], self.folder)
 
