--- a/test/processes/test_admission.py
+++ b/test/processes/test_admission.py
@@ -13,7 +13,7 @@
 
 OBJECTIVE_MS = 1000
 WORK_MS = 100  # with 8 slots of the service: 80 requests per second
-LOAD_S = 6
+LOAD_S = 20  # with 6 s the shares of two classes differ by chance more than by their priority
 INTERVAL_S = 0.25  # between two requests of one caller
 BULK_BYTES = 90_000
 LARGEST_BYTES = 540_000
--- a/test/processes/test_departures.py
+++ b/test/processes/test_departures.py
@@ -19,6 +19,7 @@
 BASE = 1950
 TARGETS_PATH = "/kumquat/v1/targets/"
 LEAVERS = ["catalogue-0", "catalogue-1", "orders-0"]
+DRAIN_S = 2.0  # the bound of the platform
 WATCH_S = 3.0  # how long requests are sent after the restart
 
 
@@ -103,8 +104,14 @@
         if status != 200:
             wait_until(lambda: "late" in known_targets(self.fleet, 2), 10, "the target")
             self.assertEqual(self.depart("late", 2), 200)
-        for member in range(3):
-            self.assertEqual(known_targets(self.fleet, member)["late"][0], "gone")
+        # Two of three members confirm a departure; the third has it by the time that entries may still
+        # send to the target.
+        self.assertGreaterEqual(self.members_without("late"), 2)
+        wait_until(lambda: self.members_without("late") == 3, DRAIN_S, "the third member")
+
+    def members_without(self, name):
+        """The number of members that know that the target has gone."""
+        return sum(known_targets(self.fleet, member).get(name, ("",))[0] == "gone" for member in range(3))
 
     def resume_members(self):
         for name in ("control-0", "control-1"):
--- a/test/processes/test_documents.py
+++ b/test/processes/test_documents.py
@@ -7,7 +7,7 @@
 import socket
 import unittest
 
-from platform_fleet import PlatformFleet, document
+from platform_fleet import SERVICES, PlatformFleet, document
 from support import wait_until
 
 DOCUMENT_PATH = "/kumquat/v1/document"
@@ -218,7 +218,10 @@
 
     def test_one_odd_announcement_is_refused_alone_and_nobody_stops_following(self):
         plain = self.heartbeat()
-        before = self.known_targets(0)
+        # An entry serves before it knows all targets; only then does one more mean the fresh one.
+        before = sum(count for _, count, _ in SERVICES)
+        for entry in range(2):
+            wait_until(lambda e=entry: self.known_targets(e) == before, 10, "all targets at the entry")
         odd = [b"[" * 100_000, b'{"a":' * 100_000, plain[:-1], plain + b"x",
                plain.replace(b'"zone-0"', b"[" * 100_000), plain.replace(b'"zone-0"', b'"\xff"'),
                plain.replace(b'"zone-0"', b'"\\ud800"'), plain.replace(b'"Slots": 2', b'"Slots": 1e400')]
