--- a/test/processes/test_endless_responses.py
+++ b/test/processes/test_endless_responses.py
@@ -83,7 +83,7 @@
         super().__init__(base=2140, entries=1)
 
     def loopback_address(self, name):
-        return f"127.0.{73 if name.startswith('control') else 74}.{10 + int(name.split('-')[1])}"
+        return f"127.0.{107 if name.startswith('control') else 108}.{10 + int(name.split('-')[1])}"
 
     def render_settings(self, template, fields):
         text = super().render_settings(template, fields)
