--- a/src/common/Explanation.cpp
+++ b/src/common/Explanation.cpp
@@ -25,7 +25,9 @@
     { "overloaded",
       "every target stayed full for as long as the latency objective left time to wait, or "
       "the retry budget was spent; it has not run" },
-    { "no-target", "the service had no ready target that had not been tried before" },
+    { "no-target",
+      "the service had no ready target that had not been tried before, or had left the "
+      "configuration" },
     { "retries-exhausted",
       "each target that it was sent to refused it or was unreachable; see the lines of event "
       "331" },
